--- /dev/null
+++ b/src/main/java/rockshift/Logic.java
@@ -0,0 +1,632 @@
+package rockshift;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+
+/**
+ * All decisions of one governor. The host calls an input method for each thing it learns, then
+ * {@link #decide} until that answers false; what is decided comes out through {@link Orders}.
+ * Inputs only update what is known. Times are tenths of a millisecond on the host's clock.
+ * The mechanism and every exception to it are explained in docs/design.md.
+ */
+public final class Logic {
+    // ---- constants: unit, and the reason for the size -------------------------------------------
+    /** Tenths of a ms: the timer. A tenth of the gathering time, so that nothing due waits long. */
+    private static final long TURN = 1_000;
+    /** Tenths of a ms: the design's gathering time between two batches of differences. */
+    private static final long GATHER = 10_000;
+    /** Share of a line's weight: smaller changes are not sent (the design's tenth). */
+    private static final double SKIP = 0.1;
+    /** Share of the channel's limit that ordinary batches may fill (the design's half). */
+    private static final double CHANNEL_PART = 0.5;
+    /** Share of the message limit left to ordinary batches; drains and joins need the rest. */
+    private static final double MESSAGE_PART = 0.6;
+    /** Tenths of a ms: memory of the capacity estimates (the design's 10 s). */
+    private static final double CAPACITY_MEMORY = 100_000;
+    /** Tenths of a ms: memory of failures; short, as a failing replica does harm at once. */
+    private static final double HEALTH_MEMORY = 50_000;
+    /** Part: how far one usage report moves a proxy's rate; two reports make most of a change. */
+    private static final double DEMAND_STEP = 0.5;
+    /** Exponent of the fairness; 1 is the design's start. */
+    private static final double ALPHA = 1;
+    /** Worth of moving the whole traffic once, as a share of its benefit: the switching cost. */
+    private static final double THETA = 0.002;
+    /** Iterations a report round (the design's 5). */
+    private static final int ITERATIONS = 5;
+    /** Bisection steps: enough for 12 digits. */
+    private static final int BISECTIONS = 40;
+    /** Share of an even line that every line keeps: enough to go on hearing of the replica. */
+    private static final double FLOOR = 0.02;
+    /** Demand share below which a request still gets a table, for proxies that may join it. */
+    private static final double LEAST_DEMAND = 0.002;
+    /** Tries: fewer say nothing about a replica. */
+    private static final double FEW_TRIES = 3;
+    /** Share of failures above the fleet's median at which a replica is shunned. */
+    private static final double EXCESS_FAILURES = 0.25;
+    /** Tenths of a ms: a shunned replica's first rest; it doubles up to the longest. */
+    private static final long REST = 60_000;
+    private static final long LONGEST_REST = 150_000;
+    /** Tenths of a ms: the return after a rest, over which the weight grows from TRIAL to full. */
+    private static final long RETURN = 50_000;
+    private static final double TRIAL = 0.15;
+    /** Tenths of a ms beyond the longest transit after which an unanswered mark means a queue. */
+    private static final long MARK_SLACK = 5_000;
+
+    private static final int LAST_SERIAL = 65_535;
+
+    // ---- what is known --------------------------------------------------------------------------
+    private final Map<String, String> terms;
+    private final RandomGenerator chance;
+    private final List<String> zones;
+    private final int classes;
+    private final int requests;
+    private final TreeMap<Long, Replica> replicas = new TreeMap<>();
+    private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
+    private final TreeSet<Due> dues = new TreeSet<>();
+    private final double[] weight;
+    private final double[] total;
+    private final boolean[] laid;
+    private long now;
+    private long lastDecay;
+    private boolean urgent = true;
+    private boolean held;
+    private boolean timerSet;
+    private double queued;
+    private long queuedAt;
+    private int serial;
+    private final List<String> notes = new ArrayList<>();
+
+    /** One line of work that falls due at a time; the only other clock beside the timer. */
+    private record Due(long at, String what, long whom) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due other) {
+            int byTime = Long.compare(at, other.at);
+            int byWork = byTime != 0 ? byTime : what.compareTo(other.what);
+            return byWork != 0 ? byWork : Long.compare(whom, other.whom);
+        }
+    }
+
+    /** A path for each request, and the one link they share: its capacity. */
+    private final class Replica {
+        final long id;
+        String zone;
+        String kind;
+        Listed.Health health = Listed.Health.READY;
+        long started;
+        double answered;
+        double latencySum;
+        double tries;
+        double lost;
+        boolean shunned;
+        long rest = REST;
+        long returning = Long.MIN_VALUE / 2;
+        double capacity;
+        final double[] x = new double[requests];
+        final double[] z = new double[requests];
+        final double[] dual = new double[requests];
+        final double[] mean = new double[requests];
+        final double[] published = new double[requests];
+
+        Replica(long id) {
+            this.id = id;
+        }
+
+        boolean usable() {
+            return health == Listed.Health.READY;
+        }
+
+        /** Part of its full capacity that it has at least: a new one starts cold and warms evenly. */
+        double warmth() {
+            double least = number("cold.share", 0.1);
+            double age = now - started;
+            double span = number("warm.after", 300_000);
+            return started == 0 || age >= span ? 1 : least + (1 - least) * Math.max(0, age) / span;
+        }
+
+        boolean inTables() {
+            return Arrays.stream(published).anyMatch(line -> line > 0);
+        }
+
+        double failureShare() {
+            return lost / tries;
+        }
+    }
+
+    private static final class Proxy {
+        final int zone;
+        final double[] rate;
+        final ArrayDeque<Long> messages = new ArrayDeque<>();
+        final ArrayDeque<long[]> unanswered = new ArrayDeque<>();
+        boolean bound;
+
+        Proxy(int zone, double[] rate) {
+            this.zone = zone;
+            this.rate = rate;
+        }
+    }
+
+    public Logic(long now, long seed, Map<String, String> terms) {
+        this.now = now;
+        this.terms = terms;
+        chance = new SplittableRandom(seed);
+        zones = Arrays.asList(terms.getOrDefault("zones", "").split(","));
+        classes = (int) number("classes", 0);
+        requests = zones.size() * classes;
+        weight = new double[requests];
+        total = new double[requests];
+        laid = new boolean[requests];
+        lastDecay = now;
+        queuedAt = now;
+        dues.add(new Due(now, "batch", 0));
+    }
+
+    private double number(String name, double otherwise) {
+        String value = terms.get(name);
+        return value == null || value.isEmpty() ? otherwise : Double.parseDouble(value);
+    }
+
+    private String term(int k, String name) {
+        return terms.getOrDefault("class." + k + "." + name, "");
+    }
+
+    // ---- inputs ---------------------------------------------------------------------------------
+
+    /** The list: changes only, or the whole of it; a stale one is what an instance starts with. */
+    public void listed(long now, List<Listed> entries, boolean changes, boolean stale) {
+        this.now = now;
+        TreeSet<Long> seen = new TreeSet<>();
+        for (Listed entry : entries) {
+            seen.add(entry.replica());
+            Replica replica = replicas.computeIfAbsent(entry.replica(), Replica::new);
+            boolean restarted = entry.started() > replica.started;
+            if (restarted || entry.health() != replica.health) {
+                urgent |= replica.inTables();
+                notes.add("replica " + entry.replica() + " " + entry.health() + (restarted ? " started" : ""));
+            }
+            if (restarted) {
+                replica.started = entry.started();
+                forget(replica);
+            }
+            replica.zone = entry.zone();
+            replica.kind = entry.kind();
+            replica.health = entry.health();
+        }
+        if (!changes) {
+            for (Replica replica : replicas.values()) {
+                if (!seen.contains(replica.id) && replica.health != Listed.Health.GONE) {
+                    replica.health = Listed.Health.GONE;
+                    urgent |= replica.inTables();
+                }
+            }
+        }
+    }
+
+    private static void forget(Replica replica) {
+        replica.answered = 0;
+        replica.latencySum = 0;
+        replica.tries = 0;
+        replica.lost = 0;
+        replica.shunned = false;
+        replica.rest = REST;
+    }
+
+    public void joined(long now, int number, String zone, boolean fresh, double usualRate) {
+        this.now = now;
+        double[] rate = new double[classes];
+        Arrays.fill(rate, usualRate / Math.max(1, classes));
+        proxies.put(number, new Proxy(Math.max(0, zones.indexOf(zone)), rate));
+    }
+
+    public void left(long now, int number) {
+        this.now = now;
+        proxies.remove(number);
+    }
+
+    /** What the proxies of a zone met at a replica. */
+    public void heard(long now, String zone, long id, int tries, int lost, long span, long latency,
+            Map<String, Double> load) {
+        this.now = now;
+        Replica replica = replicas.get(id);
+        if (replica == null) {
+            return;
+        }
+        int answered = Math.max(0, tries - lost);
+        replica.tries += tries;
+        replica.lost += lost;
+        if (replica.warmth() >= 1) {
+            replica.answered += answered;
+            replica.latencySum += (double) answered * latency;
+        }
+    }
+
+    public void usage(long now, int number, String type, int came, int unanswered, long span) {
+        this.now = now;
+        Proxy proxy = proxies.get(number);
+        for (int k = 0; proxy != null && span > 0 && k < classes; k++) {
+            if (term(k, "name").equals(type)) {
+                proxy.rate[k] += DEMAND_STEP * (came * 10_000.0 / span - proxy.rate[k]);
+            }
+        }
+    }
+
+    public void caughtUp(long now, int number, int serial) {
+        this.now = now;
+        Proxy proxy = proxies.get(number);
+        if (proxy != null && proxy.unanswered.stream().anyMatch(mark -> mark[0] == serial)) {
+            while (proxy.unanswered.removeFirst()[0] != serial) {
+                continue;
+            }
+        }
+    }
+
+    public void probed(long now, long replica, boolean answered, long took, Map<String, Double> load) {
+        this.now = now;
+    }
+
+    public void told(long now, int governor, byte[] text) {
+        this.now = now;
+    }
+
+    public void woken(long now) {
+        this.now = now;
+        timerSet = false;
+    }
+
+    // ---- decisions ------------------------------------------------------------------------------
+
+    /** Takes one decision, if there is one to take now. */
+    public boolean decide(Orders orders) {
+        if (!timerSet) {
+            timerSet = true;
+            orders.wake(TURN);
+            return true;
+        }
+        if (!notes.isEmpty()) {
+            orders.log(notes.remove(0));
+            return true;
+        }
+        Due due = dues.first();
+        if (due.at <= now || urgent) {
+            if (urgent || due.what.equals("batch")) {
+                return batch(orders);
+            }
+            dues.pollFirst();
+            Replica replica = replicas.get(due.whom);
+            if (replica != null && replica.shunned) {
+                replica.shunned = false;
+                replica.returning = now;
+                replica.tries = 0;
+                replica.lost = 0;
+                notes.add("replica " + replica.id + " tried again");
+            }
+            return true;
+        }
+        for (Map.Entry<Integer, Proxy> entry : proxies.entrySet()) {
+            if (!entry.getValue().bound && join(orders, entry.getKey(), entry.getValue())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Lays the tables of its zone under a proxy; never one without a line. */
+    private boolean join(Orders orders, int number, Proxy proxy) {
+        double lines = number("message.head", 0);
+        for (int r = proxy.zone * classes; r < (proxy.zone + 1) * classes; r++) {
+            double held = 2;
+            for (Replica replica : replicas.values()) {
+                held += replica.published[r] > 0 ? 1 : 0;
+            }
+            if (held == 2) {
+                return false;
+            }
+            lines += held;
+        }
+        if (queue() + lines > number("channel.limit", 1e9)) {
+            return false;
+        }
+        for (int k = 0; k < classes; k++) {
+            orders.bind(proxy.zone * classes + k, number, 1 << k);
+        }
+        proxy.bound = true;
+        queued += lines;
+        proxy.messages.add(now);
+        return true;
+    }
+
+    /** Judges, solves and sends the differences, those of drains first. */
+    private boolean batch(Orders orders) {
+        dues.removeIf(due -> due.what.equals("batch"));
+        dues.add(new Due(now + GATHER, "batch", 0));
+        boolean pressing = urgent || held;
+        urgent = false;
+        held = false;
+        fade();
+        judge();
+        weighDemand();
+        estimate();
+        for (int i = 0; i < ITERATIONS; i++) {
+            iterate();
+        }
+        publish(orders, pressing);
+        if (held) {
+            dues.add(new Due(now + TURN, "batch", 0));
+        }
+        return true;
+    }
+
+    /** Old evidence fades, by the time passed and not by the number of reports. */
+    private void fade() {
+        double keepCapacity = Math.exp((lastDecay - now) / CAPACITY_MEMORY);
+        double keepHealth = Math.exp((lastDecay - now) / HEALTH_MEMORY);
+        lastDecay = now;
+        for (Replica replica : replicas.values()) {
+            replica.answered *= keepCapacity;
+            replica.latencySum *= keepCapacity;
+            replica.tries *= keepHealth;
+            replica.lost *= keepHealth;
+        }
+    }
+
+    /** A replica is judged by its share of failures against the fleet's median. */
+    private void judge() {
+        List<Replica> known = replicas.values().stream().filter(r -> r.usable() && r.tries >= FEW_TRIES).toList();
+        if (known.isEmpty()) {
+            return;
+        }
+        double[] shares = known.stream().mapToDouble(Replica::failureShare).sorted().toArray();
+        double median = shares[(shares.length - 1) / 2];
+        for (Replica replica : known) {
+            if (!replica.shunned && replica.failureShare() > median + EXCESS_FAILURES) {
+                replica.shunned = true;
+                dues.add(new Due(now + replica.rest + chance.nextInt((int) GATHER), "return", replica.id));
+                replica.rest = Math.min(LONGEST_REST, 2 * replica.rest);
+                notes.add("replica " + replica.id + " shunned, failures " + replica.failureShare());
+            } else if (!replica.shunned && now - replica.returning > RETURN) {
+                replica.rest = REST;
+            }
+        }
+    }
+
+    /** Request weights: shares of demand, by zone and class. */
+    private void weighDemand() {
+        double all = 0;
+        Arrays.fill(weight, 0);
+        for (Proxy proxy : proxies.values()) {
+            for (int k = 0; k < classes; k++) {
+                weight[proxy.zone * classes + k] += proxy.rate[k];
+                all += proxy.rate[k];
+            }
+        }
+        double sum = 0;
+        for (int r = 0; r < requests; r++) {
+            weight[r] = Math.max(LEAST_DEMAND, all > 0 ? weight[r] / all : 0);
+            sum += weight[r];
+        }
+        for (int r = 0; r < requests; r++) {
+            weight[r] /= sum;
+        }
+    }
+
+    /** Capacities as shares of their sum: answered rate, corrected by the latency against the median. */
+    private void estimate() {
+        List<Replica> heard = new ArrayList<>();
+        for (Replica replica : replicas.values()) {
+            if (replica.usable() && replica.answered >= 1 && replica.latencySum > 0) {
+                heard.add(replica);
+            }
+        }
+        double[] latencies = heard.stream().mapToDouble(r -> r.latencySum / r.answered).sorted().toArray();
+        double mean = 0;
+        for (Replica replica : heard) {
+            double latency = replica.latencySum / replica.answered;
+            replica.capacity = replica.answered * latencies[latencies.length / 2] / latency;
+            mean += replica.capacity / heard.size();
+        }
+        double sum = 0;
+        for (Replica replica : replicas.values()) {
+            if (!replica.usable()) {
+                replica.capacity = 0;
+                continue;
+            }
+            if (!heard.contains(replica) || replica.warmth() < 1) {
+                replica.capacity = heard.isEmpty() ? 1 : mean;
+            }
+            replica.capacity *= replica.warmth();
+            double back = (double) (now - replica.returning) / RETURN;
+            replica.capacity *= replica.shunned ? 0 : Math.min(1, TRIAL + (1 - TRIAL) * back);
+            sum += replica.capacity;
+        }
+        for (Replica replica : replicas.values()) {
+            replica.capacity = sum > 0 ? replica.capacity / sum : 0;
+        }
+    }
+
+    /** One iteration of FD-ADMM. Each path has one link, so its two duals are opposite: one is kept. */
+    private void iterate() {
+        double penalty = penalty();
+        for (Replica path : replicas.values()) {
+            for (int r = 0; r < requests; r++) {
+                path.mean[r] = (path.x[r] + path.z[r]) / 2;
+                path.dual[r] += (path.x[r] - path.mean[r]) / penalty;
+            }
+            project(path, penalty);
+        }
+        for (int r = 0; r < requests; r++) {
+            double high = 2;
+            double low = 0;
+            for (int i = 0; i < BISECTIONS; i++) {
+                double y = (low + high) / 2;
+                double marginal = weight[r] / Math.pow(y, ALPHA);
+                double sum = 0;
+                for (Replica path : replicas.values()) {
+                    sum += path.usable() ? copy(path, r, penalty, marginal) : 0;
+                }
+                if (sum > y) {
+                    low = y;
+                } else {
+                    high = y;
+                }
+            }
+            double marginal = weight[r] / Math.pow((low + high) / 2, ALPHA);
+            total[r] = 0;
+            for (Replica path : replicas.values()) {
+                path.x[r] = path.usable() ? copy(path, r, penalty, marginal) : 0;
+                total[r] += path.z[r];
+            }
+        }
+    }
+
+    /** A request's own copy of a path's rate, held at the current rate by the switching cost. */
+    private double copy(Replica path, int r, double penalty, double marginal) {
+        double current = path.published[r] * total[r];
+        double move = path.mean[r] + penalty * (marginal - path.dual[r]) - current;
+        return current + Math.signum(move) * Math.max(0, Math.abs(move) - penalty * THETA);
+    }
+
+    /** The link's copies: the nearest point whose sum stays within the capacity. */
+    private void project(Replica link, double penalty) {
+        double[] point = new double[requests];
+        double sum = 0;
+        for (int r = 0; r < requests; r++) {
+            point[r] = link.mean[r] + penalty * link.dual[r];
+            sum += Math.max(0, point[r]);
+        }
+        double cut = 0;
+        if (sum > link.capacity) {
+            double[] sorted = point.clone();
+            Arrays.sort(sorted);
+            double prefix = 0;
+            for (int i = 1; i <= requests; i++) {
+                prefix += sorted[requests - i];
+                double level = (prefix - link.capacity) / i;
+                if (level < sorted[requests - i]) {
+                    cut = level;
+                }
+            }
+        }
+        for (int r = 0; r < requests; r++) {
+            link.z[r] = Math.max(0, point[r] - cut);
+        }
+    }
+
+    /** The paper's start of the penalty, with every request able to use every link. */
+    private double penalty() {
+        double least = Double.MAX_VALUE;
+        double most = 0;
+        for (double w : weight) {
+            double bound = w;
+            least = Math.min(least, w);
+            most = Math.max(most, w / Math.pow(bound, ALPHA + 1));
+        }
+        return ALPHA / Math.sqrt(least * most);
+    }
+
+    /** One line that is to change, and by how much. */
+    private record Change(int request, Replica replica, double to, double size) { }
+
+    private void publish(Orders orders, boolean pressing) {
+        List<Change> changes = changes();
+        double limit = number("channel.limit", 1e9);
+        double room = limit * (pressing ? 0.9 : CHANNEL_PART) - queue();
+        double[] heads = new double[zones.size()];
+        long[] bound = new long[zones.size()];
+        boolean[] full = new boolean[zones.size()];
+        double most = number("messages.limit", 0);
+        for (Proxy proxy : proxies.values()) {
+            bound[proxy.zone] += proxy.bound ? 1 : 0;
+            while (!proxy.messages.isEmpty()
+                    && proxy.messages.peek() <= now - number("messages.span", 0)) {
+                proxy.messages.poll();
+            }
+            int sent = proxy.messages.size();
+            full[proxy.zone] |= most > 0 && sent >= Math.floor(most * (pressing ? 1 : MESSAGE_PART));
+        }
+        double[] sent = new double[zones.size()];
+        for (Change change : changes) {
+            int zone = change.request / classes;
+            double cost = bound[zone] * (sent[zone] == 0 ? 2 + number("message.head", 0) : 1);
+            if (full[zone] || cost > room) {
+                held |= change.to == 0;
+                continue;
+            }
+            room -= cost;
+            sent[zone]++;
+            if (!laid[change.request]) {
+                laid[change.request] = true;
+                orders.admit(change.request, 0, 1, again(change.request % classes));
+            }
+            change.replica.published[change.request] = change.to;
+            orders.line(change.request, change.replica.id, change.to);
+        }
+        serial = serial % (LAST_SERIAL - 1) + 1;
+        boolean any = false;
+        for (Proxy proxy : proxies.values()) {
+            if (proxy.bound && sent[proxy.zone] > 0) {
+                double lines = sent[proxy.zone] + 1 + number("message.head", 0);
+                queued += lines;
+                proxy.messages.add(now);
+                proxy.unanswered.add(new long[] {serial, now, (long) lines});
+                any = true;
+            }
+        }
+        if (any) {
+            orders.mark(serial, false);
+        }
+        replicas.values().removeIf(r -> r.health == Listed.Health.GONE && !r.inTables());
+    }
+
+    private List<Change> changes() {
+        List<Change> changes = new ArrayList<>();
+        int lines = (int) replicas.values().stream().filter(Replica::usable).count();
+        for (int r = 0; r < requests; r++) {
+            double sum = 0;
+            for (Replica path : replicas.values()) {
+                sum += path.usable() ? path.z[r] : 0;
+            }
+            for (Replica path : replicas.values()) {
+                double old = path.published[r];
+                double to = 0;
+                if (path.usable()) {
+                    to = sum > 0 ? Math.max(FLOOR / lines, path.z[r] / sum) : old > 0 ? old : 1.0 / lines;
+                    to = Math.round(to * 1e5) / 1e5;
+                }
+                double size = Math.abs(to - old);
+                if (to == 0 ? old > 0 : size > SKIP * old) {
+                    changes.add(new Change(r, path, to, to == 0 ? 2 : old == 0 ? 1 + size : size));
+                }
+            }
+        }
+        changes.sort((a, b) -> Double.compare(b.size, a.size));
+        return changes;
+    }
+
+    /** Trying again: only after proof that the first try never ran; safe for every class. */
+    private int again(int k) {
+        return 1;
+    }
+
+    /** Lines that may wait in the channel: by its usual pace, or by marks long unanswered. */
+    private double queue() {
+        double pace = number("channel.pace", 1e6) / 10_000;
+        queued = Math.max(0, queued - (now - queuedAt) * pace);
+        queuedAt = now;
+        double overdue = 0;
+        double patience = number("transit.longest", 0) + queued / pace + MARK_SLACK;
+        for (Proxy proxy : proxies.values()) {
+            for (Iterator<long[]> marks = proxy.unanswered.iterator(); marks.hasNext();) {
+                long[] mark = marks.next();
+                overdue += now - mark[1] > patience ? mark[2] : 0;
+            }
+        }
+        return Math.max(queued, overdue);
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/drill/Drill.java
@@ -0,0 +1,235 @@
+package rockshift.drill;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import rockshift.Listed;
+import rockshift.Logic;
+import rockshift.Orders;
+
+/** Hosts instances of the module on the simulator's wire: one reply for each batch of events. */
+public final class Drill {
+    private final Map<Integer, Logic> instances = new LinkedHashMap<>();
+    private final Map<Integer, List<Listed>> sheets = new LinkedHashMap<>();
+    private final StringBuilder reply = new StringBuilder();
+    private final BufferedReader input;
+
+    private Drill(BufferedReader input) {
+        this.input = input;
+    }
+
+    /** Plays until the input ends; answers the exit status. */
+    public static int run(InputStream in, OutputStream out) throws IOException {
+        Drill drill = new Drill(new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8)));
+        try {
+            for (String line = drill.input.readLine(); line != null; line = drill.input.readLine()) {
+                drill.batch(line);
+                out.write(drill.reply.toString().getBytes(StandardCharsets.UTF_8));
+                out.flush();
+                drill.reply.setLength(0);
+            }
+            return 0;
+        } catch (Codec.Malformed wrong) {
+            System.err.println(wrong.getMessage());
+            return 1;
+        }
+    }
+
+    private String next(String expected) throws IOException {
+        String line = input.readLine();
+        if (line == null) {
+            throw new Codec.Malformed("end of input", expected);
+        }
+        return line;
+    }
+
+    private void batch(String first) throws IOException {
+        Codec clock = new Codec(first);
+        if (!clock.name().equals("CLOCK")) {
+            throw new Codec.Malformed(first, "CLOCK");
+        }
+        long now = clock.tenths("the clock");
+        long number = clock.whole("a batch number");
+        Set<Integer> touched = new LinkedHashSet<>();
+        for (String line = next("an event"); !line.equals("OVER_TO_YOU"); line = next("OVER_TO_YOU")) {
+            Codec event = new Codec(line);
+            if (event.name().equals("SHEET")) {
+                int page = event.small("a page");
+                sheets.put(page, Codec.rows(event.small("the number of records"), this::next));
+                continue;
+            }
+            int governor = event.small("a governor");
+            touched.add(governor);
+            guarded(governor, () -> read(event, governor, now));
+        }
+        for (int governor : touched) {
+            Logic logic = instances.get(governor);
+            if (logic != null) {
+                Orders orders = new Writer(governor);
+                guarded(governor, () -> {
+                    while (logic.decide(orders)) {
+                        continue;
+                    }
+                });
+            }
+        }
+        reply.append("ACK ").append(number).append('\n');
+    }
+
+    /** An exception in the module ends the day in its own words; one in a line ends the run. */
+    private void guarded(int governor, Runnable work) {
+        try {
+            work.run();
+        } catch (Codec.Malformed wrong) {
+            throw wrong;
+        } catch (RuntimeException failure) {
+            failure.printStackTrace();
+            reply.append("INTERNAL_ERROR ").append(governor).append(' ')
+                    .append(String.valueOf(failure).replace('\n', ' ')).append('\n');
+        }
+    }
+
+    /** Where the list must be asked for, the module is to find it coming all the same. */
+    private void subscribe(int governor) {
+        reply.append("TRACK ").append(governor).append(" 1\n");
+    }
+
+    private void read(Codec event, int governor, long now) {
+        if (event.name().equals("HELLO")) {
+            long seed = event.whole("a seed");
+            Map<String, String> settings = event.settings();
+            instances.put(governor, new Logic(now, seed, settings));
+            if (settings.getOrDefault("list.feed", "").equals("subscribe")) {
+                subscribe(governor);
+            }
+            return;
+        }
+        if (event.name().equals("EXIT")) {
+            instances.remove(governor);
+            return;
+        }
+        Logic logic = instances.get(governor);
+        if (logic == null) {
+            return;
+        }
+        switch (event.name()) {
+            case "TARGETS" -> {
+                String kind = event.text("a list kind");
+                event.whole("a serial");
+                if (kind.equals("FAILED")) {
+                    subscribe(governor);
+                } else {
+                    List<Listed> rows = sheets.get(event.small("a page"));
+                    if (rows == null) {
+                        throw new Codec.Malformed(event.name(), "a SHEET of that page before it");
+                    }
+                    logic.listed(now, rows, kind.equals("INCREMENTAL"), kind.equals("SAVED"));
+                }
+            }
+            case "JOINED" -> {
+                boolean fresh = event.flag("whether it is fresh");
+                String zone = event.text("a zone");
+                logic.joined(now, event.small("a proxy"), zone, fresh, event.number("its size"));
+            }
+            case "LEFT" -> logic.left(now, event.small("a proxy"));
+            case "HEARD" -> {
+                long latency = event.tenths("a mean time");
+                String zone = event.text("a zone");
+                long replica = event.whole("a replica");
+                int lost = event.small("lost tries");
+                int tries = event.small("tries");
+                long span = event.tenths("a span");
+                logic.heard(now, zone, replica, tries, lost, span, latency, event.load("a load report"));
+            }
+            case "PROXY_STATS" -> {
+                int unanswered = event.small("lost transactions");
+                int proxy = event.small("a proxy");
+                String type = event.text("a class");
+                long span = event.tenths("a span");
+                logic.usage(now, proxy, type, event.small("transactions"), unanswered, span);
+            }
+            case "CAUGHT_UP" -> {
+                int serial = event.small("a serial");
+                logic.caughtUp(now, event.small("a proxy"), serial);
+            }
+            case "PING_RESULT" -> {
+                long replica = event.whole("a replica");
+                boolean answered = event.text("an outcome").equals("S");
+                logic.probed(now, replica, answered, event.tenths("a time"), event.load("a load report"));
+            }
+            case "INBOX" -> logic.told(now, event.small("a governor"), event.bytes("the octets"));
+            case "TIMER" -> logic.woken(now);
+            case "SLICE_LOAD", "GIVEN", "STANDING_LINE" -> {
+                // Sites with slices hand out tables of their own; the module lays none there.
+            }
+            default -> throw new Codec.Malformed(event.name(), "an event of the wire");
+        }
+    }
+
+    /** Writes the module's orders as lines of the reply. */
+    private final class Writer implements Orders {
+        private final int governor;
+
+        Writer(int governor) {
+            this.governor = governor;
+        }
+
+        private StringBuilder start(String action) {
+            return reply.append(action).append(' ').append(governor).append(' ');
+        }
+
+        @Override
+        public void line(int table, long replica, double weight) {
+            start("WEIGH").append(table).append(' ').append(replica).append(' ').append(weight).append('\n');
+        }
+
+        @Override
+        public void withdraw(long replica, boolean out) {
+            start("MASK").append(replica).append(out ? " 1\n" : " 0\n");
+        }
+
+        @Override
+        public void bind(int table, int proxy, int classes) {
+            start("ATTACH_TABLE").append(classes).append(' ').append(table).append(' ').append(proxy).append('\n');
+        }
+
+        @Override
+        public void admit(int table, int classes, double level, int again) {
+            start("ALLOW").append(table).append(' ').append(classes).append(' ').append(level).append(' ')
+                    .append(again).append('\n');
+        }
+
+        @Override
+        public void probe(long replica) {
+            start("HEALTH_CHECK").append(replica).append('\n');
+        }
+
+        @Override
+        public void tell(int fellow, byte[] text) {
+            start("NOTIFY").append(fellow).append(' ').append(Codec.hex(text)).append('\n');
+        }
+
+        @Override
+        public void mark(int serial, boolean everyone) {
+            start("STAMP").append(everyone ? "1 " : "0 ").append(serial).append('\n');
+        }
+
+        @Override
+        public void wake(long delay) {
+            start("NOTIFY_ME").append(Codec.micros(delay)).append(" round\n");
+        }
+
+        @Override
+        public void log(String line) {
+            start("RECORD").append(line).append('\n');
+        }
+    }
+}
