--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -31,6 +31,10 @@
     private static final double MESSAGE_PART = 0.6;
     /** Tenths of a ms: memory of the capacity estimates (the design's 10 s). */
     private static final double CAPACITY_MEMORY = 100_000;
+    /** Answers: a replica heard of less leans on the mean of its kind. */
+    private static final double PRIOR = 10;
+    /** Share: a load report below it is mostly noise, and a rate over it would be as well. */
+    private static final double LEAST_LOAD = 0.05;
     /** Tenths of a ms: memory of failures; short, as a failing replica does harm at once. */
     private static final double HEALTH_MEMORY = 50_000;
     /** Part: how far one usage report moves a proxy's rate; two reports make most of a change. */
@@ -102,7 +106,8 @@
         Listed.Health health = Listed.Health.READY;
         long started;
         double answered;
-        double latencySum;
+        double loadSum;
+        double loadTries;
         double tries;
         double lost;
         boolean shunned;
@@ -135,6 +140,11 @@
             return Arrays.stream(published).anyMatch(line -> line > 0);
         }
 
+        /** Share of its time that it was busy, for all who send to it. */
+        double load() {
+            return loadTries > 0 ? Math.max(LEAST_LOAD, loadSum / loadTries) : 1;
+        }
+
         double failureShare() {
             return lost / tries;
         }
@@ -211,7 +221,8 @@
 
     private static void forget(Replica replica) {
         replica.answered = 0;
-        replica.latencySum = 0;
+        replica.loadSum = 0;
+        replica.loadTries = 0;
         replica.tries = 0;
         replica.lost = 0;
         replica.shunned = false;
@@ -243,7 +254,11 @@
         replica.lost += lost;
         if (replica.warmth() >= 1) {
             replica.answered += answered;
-            replica.latencySum += (double) answered * latency;
+            Double busy = load.get("util");
+            if (busy != null) {
+                replica.loadSum += tries * busy;
+                replica.loadTries += tries;
+            }
         }
     }
 
@@ -370,7 +385,8 @@
         lastDecay = now;
         for (Replica replica : replicas.values()) {
             replica.answered *= keepCapacity;
-            replica.latencySum *= keepCapacity;
+            replica.loadSum *= keepCapacity;
+            replica.loadTries *= keepCapacity;
             replica.tries *= keepHealth;
             replica.lost *= keepHealth;
         }
@@ -416,33 +432,33 @@
         }
     }
 
-    /** Capacities as shares of their sum: answered rate, corrected by the latency against the median. */
+    /**
+     * Capacities as shares of their sum. A replica's is its answered rate over its load: what it would
+     * answer if it were busy all the time, of which our own proxies' part is ours. The answered rate
+     * alone follows the weight that it was given, and feeds on itself. Few answers lean on the kind's mean.
+     */
     private void estimate() {
-        List<Replica> heard = new ArrayList<>();
+        TreeMap<String, double[]> kinds = new TreeMap<>();
+        double[] fleet = new double[2];
         for (Replica replica : replicas.values()) {
-            if (replica.usable() && replica.answered >= 1 && replica.latencySum > 0) {
-                heard.add(replica);
+            if (replica.usable() && replica.answered >= 1) {
+                double raw = replica.answered / replica.load();
+                double[] kind = kinds.computeIfAbsent(replica.kind, name -> new double[2]);
+                kind[0] += raw;
+                kind[1]++;
+                fleet[0] += raw;
+                fleet[1]++;
             }
         }
-        double[] latencies = heard.stream().mapToDouble(r -> r.latencySum / r.answered).sorted().toArray();
-        double mean = 0;
-        for (Replica replica : heard) {
-            double latency = replica.latencySum / replica.answered;
-            replica.capacity = replica.answered * latencies[latencies.length / 2] / latency;
-            mean += replica.capacity / heard.size();
-        }
         double sum = 0;
         for (Replica replica : replicas.values()) {
-            if (!replica.usable()) {
-                replica.capacity = 0;
-                continue;
-            }
-            if (!heard.contains(replica) || replica.warmth() < 1) {
-                replica.capacity = heard.isEmpty() ? 1 : mean;
-            }
-            replica.capacity *= replica.warmth();
+            double[] peers = kinds.getOrDefault(replica.kind, fleet);
+            double mean = peers[1] > 0 ? peers[0] / peers[1] : 1;
+            double n = replica.warmth() < 1 ? 0 : replica.answered;
+            replica.capacity = n == 0 ? mean : (n * n / replica.load() + PRIOR * mean) / (n + PRIOR);
             double back = (double) (now - replica.returning) / RETURN;
-            replica.capacity *= replica.shunned ? 0 : Math.min(1, TRIAL + (1 - TRIAL) * back);
+            double part = replica.shunned ? 0 : Math.min(1, TRIAL + (1 - TRIAL) * back);
+            replica.capacity *= replica.usable() ? part * replica.warmth() : 0;
             sum += replica.capacity;
         }
         for (Replica replica : replicas.values()) {
