Start each path at the undisturbed optimum instead of at zero

Cause: with duals and copies from zero, five iterations are far from the optimum, and a replica with a capacity of zero kept most of a table. With one link a path and alpha 1 the optimum is known: demand share times capacity share, dual 1.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -114,6 +114,7 @@
         long rest = REST;
         long returning = Long.MIN_VALUE / 2;
         double capacity;
+        boolean placed;
         final double[] x = new double[requests];
         final double[] z = new double[requests];
         final double[] dual = new double[requests];
@@ -124,6 +125,16 @@
             this.id = id;
         }
 
+        /** Starts a path at the optimum of the undisturbed problem, so that it need not be sought. */
+        void place() {
+            for (int r = 0; r < requests && !placed; r++) {
+                x[r] = weight[r] * capacity;
+                z[r] = x[r];
+                dual[r] = Math.pow(weight[r], 1 - ALPHA);
+            }
+            placed = true;
+        }
+
         boolean usable() {
             return health == Listed.Health.READY;
         }
@@ -463,6 +474,7 @@
         }
         for (Replica replica : replicas.values()) {
             replica.capacity = sum > 0 ? replica.capacity / sum : 0;
+            replica.place();
         }
     }
 
