Carry warm copies over in proportion to capacity and demand

Cause: equal shifts of the projection bent small requests when capacities moved. Copies now scale with their link's capacity and their request's demand, and stay feasible when a capacity falls.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -76,6 +76,7 @@
     private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
     private final TreeSet<Due> dues = new TreeSet<>();
     private final double[] weight;
+    private final double[] oldWeight;
     private final double[] total;
     private final boolean[] laid;
     private long now;
@@ -114,7 +115,6 @@
         long rest = REST;
         long returning = Long.MIN_VALUE / 2;
         double capacity;
-        boolean placed;
         final double[] x = new double[requests];
         final double[] z = new double[requests];
         final double[] dual = new double[requests];
@@ -125,14 +125,19 @@
             this.id = id;
         }
 
-        /** Starts a path at the optimum of the undisturbed problem, so that it need not be sought. */
-        void place() {
-            for (int r = 0; r < requests && !placed; r++) {
-                x[r] = weight[r] * capacity;
-                z[r] = x[r];
-                dual[r] = Math.pow(weight[r], 1 - ALPHA);
+        /**
+         * Carries the copies over to a changed capacity and demand in proportion: they stay feasible when
+         * a capacity falls, and small requests are not bent by what large ones gain. A new path starts at
+         * the optimum of the undisturbed problem, so that it need not be sought.
+         */
+        void carry(double oldCapacity, double[] oldWeight) {
+            for (int r = 0; r < requests; r++) {
+                boolean held = oldCapacity > 0 && capacity > 0;
+                double scale = held ? capacity / oldCapacity * weight[r] / oldWeight[r] : 0;
+                x[r] = held ? x[r] * scale : weight[r] * capacity;
+                z[r] = held ? z[r] * scale : weight[r] * capacity;
+                dual[r] = held ? dual[r] : Math.pow(weight[r], 1 - ALPHA);
             }
-            placed = true;
         }
 
         boolean usable() {
@@ -182,6 +187,7 @@
         classes = (int) number("classes", 0);
         requests = zones.size() * classes;
         weight = new double[requests];
+        oldWeight = new double[requests];
         total = new double[requests];
         laid = new boolean[requests];
         lastDecay = now;
@@ -426,6 +432,7 @@
     /** Request weights: shares of demand, by zone and class. */
     private void weighDemand() {
         double all = 0;
+        System.arraycopy(weight, 0, oldWeight, 0, requests);
         Arrays.fill(weight, 0);
         for (Proxy proxy : proxies.values()) {
             for (int k = 0; k < classes; k++) {
@@ -462,10 +469,12 @@
             }
         }
         double sum = 0;
+        TreeMap<Long, Double> old = new TreeMap<>();
         for (Replica replica : replicas.values()) {
             double[] peers = kinds.getOrDefault(replica.kind, fleet);
             double mean = peers[1] > 0 ? peers[0] / peers[1] : 1;
             double n = replica.warmth() < 1 ? 0 : replica.answered;
+            old.put(replica.id, replica.capacity);
             replica.capacity = n == 0 ? mean : (n * n / replica.load() + PRIOR * mean) / (n + PRIOR);
             double back = (double) (now - replica.returning) / RETURN;
             double part = replica.shunned ? 0 : Math.min(1, TRIAL + (1 - TRIAL) * back);
@@ -474,7 +483,7 @@
         }
         for (Replica replica : replicas.values()) {
             replica.capacity = sum > 0 ? replica.capacity / sum : 0;
-            replica.place();
+            replica.carry(old.get(replica.id), oldWeight);
         }
     }
 
