Project onto a capacity of zero as zero

Cause: the simplex cut was sought with a strict comparison, which leaves the point as it is when the capacity is zero, so that shunned replicas drew most of a table.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -545,7 +545,7 @@
             for (int i = 1; i <= requests; i++) {
                 prefix += sorted[requests - i];
                 double level = (prefix - link.capacity) / i;
-                if (level < sorted[requests - i]) {
+                if (level <= sorted[requests - i]) {
                     cut = level;
                 }
             }
