Refuse what the fleet cannot answer, and spare cold replicas under strain

Levels now follow capacity over first tries, a replica is shunned above twice the median and a fifth, and the cold get less while the strain lasts.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -53,8 +53,22 @@
     private static final double LEAST_DEMAND = 0.002;
     /** Tries: fewer say nothing about a replica. */
     private static final double FEW_TRIES = 3;
-    /** Share of failures above the fleet's median at which a replica is shunned. */
-    private static final double EXCESS_FAILURES = 0.25;
+    /** Share of failures at which a replica is shunned, beside twice the fleet's median: a common trouble,
+     *  or too much demand, raises the median and shuns nobody. */
+    private static final double EXCESS_FAILURES = 0.2;
+    /** Tenths of a ms: memory of what came, was tried and was let in; two to four report periods. */
+    private static final double FLOW_MEMORY = 40_000;
+    /** Share of the fleet's capacity that may be let in: above it queues outgrow the promised time. */
+    private static final double FULL = 0.9;
+    /** Mean load of the fleet below which nothing is refused: a low estimate alone is no evidence. */
+    private static final double BUSY = 0.8;
+    /** Level: changes below it are not sent; and the least level of any class. */
+    private static final double LEVEL_STEP = 0.02;
+    private static final double LEAST_LEVEL = 0.05;
+    /** Times a refused client may come again, at most: bounds the search for the true demand. */
+    private static final double MOST_REPEATS = 3;
+    /** Share of what pushes a cold replica over that it may be sent, by the tries now made. */
+    private static final double COLD_PART = 0.4;
     /** Tenths of a ms: a shunned replica's first rest; it doubles up to the longest. */
     private static final long REST = 60_000;
     private static final long LONGEST_REST = 150_000;
@@ -78,13 +92,21 @@
     private final double[] weight;
     private final double[] oldWeight;
     private final double[] total;
-    private final boolean[] laid;
     private long now;
     private long lastDecay;
     private boolean urgent = true;
     private boolean held;
     private boolean timerSet;
     private double queued;
+    private final double[] came;
+    private final double[] level;
+    private final double[] sentLevel;
+    private final double[] levelTime;
+    private double flowTime;
+    private double tried;
+    private double heardTime;
+    private double fleetRate;
+    private double fleetLoad;
     private long queuedAt;
     private int serial;
     private final List<String> notes = new ArrayList<>();
@@ -189,7 +211,11 @@
         weight = new double[requests];
         oldWeight = new double[requests];
         total = new double[requests];
-        laid = new boolean[requests];
+        came = new double[classes];
+        level = new double[classes];
+        sentLevel = new double[requests];
+        levelTime = new double[classes];
+        Arrays.fill(level, 1);
         lastDecay = now;
         queuedAt = now;
         dues.add(new Due(now, "batch", 0));
@@ -269,6 +295,8 @@
         int answered = Math.max(0, tries - lost);
         replica.tries += tries;
         replica.lost += lost;
+        tried += tries;
+        heardTime = heardTime == 0 ? span : heardTime;
         if (replica.warmth() >= 1) {
             replica.answered += answered;
             Double busy = load.get("util");
@@ -284,6 +312,7 @@
         Proxy proxy = proxies.get(number);
         for (int k = 0; proxy != null && span > 0 && k < classes; k++) {
             if (term(k, "name").equals(type)) {
+                this.came[k] += came;
                 proxy.rate[k] += DEMAND_STEP * (came * 10_000.0 / span - proxy.rate[k]);
             }
         }
@@ -385,6 +414,7 @@
         judge();
         weighDemand();
         estimate();
+        setLevels();
         for (int i = 0; i < ITERATIONS; i++) {
             iterate();
         }
@@ -399,6 +429,16 @@
     private void fade() {
         double keepCapacity = Math.exp((lastDecay - now) / CAPACITY_MEMORY);
         double keepHealth = Math.exp((lastDecay - now) / HEALTH_MEMORY);
+        double flow = Math.exp((lastDecay - now) / FLOW_MEMORY);
+        if (heardTime > 0) {
+            heardTime = heardTime * keepCapacity + CAPACITY_MEMORY * (1 - keepCapacity);
+            flowTime = flowTime * flow + FLOW_MEMORY * (1 - flow);
+            tried *= flow;
+            for (int k = 0; k < classes; k++) {
+                came[k] *= flow;
+                levelTime[k] = levelTime[k] * flow + level[k] * FLOW_MEMORY * (1 - flow);
+            }
+        }
         lastDecay = now;
         for (Replica replica : replicas.values()) {
             replica.answered *= keepCapacity;
@@ -418,11 +458,12 @@
         double[] shares = known.stream().mapToDouble(Replica::failureShare).sorted().toArray();
         double median = shares[(shares.length - 1) / 2];
         for (Replica replica : known) {
-            if (!replica.shunned && replica.failureShare() > median + EXCESS_FAILURES) {
+            if (!replica.shunned && replica.failureShare() > 2 * median + EXCESS_FAILURES) {
                 replica.shunned = true;
                 dues.add(new Due(now + replica.rest + chance.nextInt((int) GATHER), "return", replica.id));
                 replica.rest = Math.min(LONGEST_REST, 2 * replica.rest);
-                notes.add("replica " + replica.id + " shunned, failures " + replica.failureShare());
+                notes.add(String.format("replica %d shunned, failures %.2f, median %.2f", replica.id,
+                        replica.failureShare(), median));
             } else if (!replica.shunned && now - replica.returning > RETURN) {
                 replica.rest = REST;
             }
@@ -469,6 +510,7 @@
             }
         }
         double sum = 0;
+        double busy = 0;
         TreeMap<Long, Double> old = new TreeMap<>();
         for (Replica replica : replicas.values()) {
             double[] peers = kinds.getOrDefault(replica.kind, fleet);
@@ -480,13 +522,85 @@
             double part = replica.shunned ? 0 : Math.min(1, TRIAL + (1 - TRIAL) * back);
             replica.capacity *= replica.usable() ? part * replica.warmth() : 0;
             sum += replica.capacity;
-        }
+            busy += replica.usable() ? replica.capacity * replica.load() : 0;
+        }
+        fleetRate = heardTime > 0 ? sum / heardTime : 0;
+        fleetLoad = sum > 0 ? busy / sum : 0;
+        // Guards a cold replica when clients and proxies together try far more than the fleet can do, or
+        // when much of it is cold; could hold a new one back for a while after a short storm.
+        double strain = flowTime > 0 && sum > 0 ? tried / flowTime * heardTime / sum : 0;
+        double bearable = COLD_PART * number("fall.multiple", 1);
         for (Replica replica : replicas.values()) {
+            replica.capacity *= replica.warmth() < 1 && strain > bearable ? bearable / strain : 1;
             replica.capacity = sum > 0 ? replica.capacity / sum : 0;
             replica.carry(old.get(replica.id), oldWeight);
         }
     }
 
+    /**
+     * Levels: no more is let in than the fleet can answer, the lesser benefit refused first where the goal
+     * allows it. Guards against too much demand and lost capacity of any cause, where admission is a share.
+     * Could refuse too much while capacity is underrated, so a fleet that is not busy refuses nothing.
+     */
+    private void setLevels() {
+        if (!terms.getOrDefault("admission", "").equals("share") || flowTime == 0) {
+            return;
+        }
+        double[] first = new double[classes];
+        double repeats = repeats();
+        double demand = 0;
+        double benefits = 0;
+        for (int k = 0; k < classes; k++) {
+            first[k] = came[k] / flowTime / (1 + repeats * (1 - levelTime[k] / flowTime));
+            demand += first[k];
+            benefits += first[k] * Double.parseDouble(term(k, "benefit"));
+        }
+        double room = FULL * fleetRate;
+        if (fleetLoad < BUSY || demand <= room) {
+            Arrays.fill(level, 1);
+            return;
+        }
+        double ofWorst = number("goal.worst.class", 0);
+        int lesser = -1;
+        double least = 1 / demand;
+        for (int k = 0; k < classes; k++) {
+            double loss = (1 - ofWorst) * Double.parseDouble(term(k, "benefit")) / benefits + ofWorst / first[k];
+            if (loss < least) {
+                least = loss;
+                lesser = k;
+            }
+        }
+        Arrays.fill(level, Math.max(LEAST_LEVEL, room / demand));
+        if (lesser >= 0) {
+            double others = demand - first[lesser];
+            level[lesser] = Math.max(LEAST_LEVEL, Math.min(1, (room - others) / first[lesser]));
+            double left = room - level[lesser] * first[lesser];
+            for (int k = 0; k < classes; k++) {
+                level[k] = k == lesser ? level[k] : Math.max(LEAST_LEVEL, Math.min(1, left / others));
+            }
+        }
+    }
+
+    /** How often a refused client comes again: what makes the tries seen fit what came and the levels. */
+    private double repeats() {
+        double low = 0;
+        double high = MOST_REPEATS;
+        for (int i = 0; i < BISECTIONS; i++) {
+            double guess = (low + high) / 2;
+            double admitted = 0;
+            for (int k = 0; k < classes; k++) {
+                double share = levelTime[k] / flowTime;
+                admitted += came[k] * share / (1 + guess * (1 - share));
+            }
+            if (admitted > tried) {
+                low = guess;
+            } else {
+                high = guess;
+            }
+        }
+        return low;
+    }
+
     /** One iteration of FD-ADMM. Each path has one link, so its two duals are opposite: one is kept. */
     private void iterate() {
         double penalty = penalty();
@@ -588,6 +702,18 @@
             full[proxy.zone] |= most > 0 && sent >= Math.floor(most * (pressing ? 1 : MESSAGE_PART));
         }
         double[] sent = new double[zones.size()];
+        for (int r = 0; r < requests; r++) {
+            int zone = r / classes;
+            double to = Math.round(level[r % classes] * 100) / 100.0;
+            boolean moved = Math.abs(to - sentLevel[r]) > LEVEL_STEP || to == 1 && sentLevel[r] < 1;
+            double cost = bound[zone] * (sent[zone] == 0 ? 2 + number("message.head", 0) : 1);
+            if (moved && !full[zone] && cost <= room) {
+                room -= cost;
+                sent[zone]++;
+                sentLevel[r] = to;
+                orders.admit(r, 0, to, again(r % classes));
+            }
+        }
         for (Change change : changes) {
             int zone = change.request / classes;
             double cost = bound[zone] * (sent[zone] == 0 ? 2 + number("message.head", 0) : 1);
@@ -597,10 +723,6 @@
             }
             room -= cost;
             sent[zone]++;
-            if (!laid[change.request]) {
-                laid[change.request] = true;
-                orders.admit(change.request, 0, 1, again(change.request % classes));
-            }
             change.replica.published[change.request] = change.to;
             orders.line(change.request, change.replica.id, change.to);
         }
