--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -56,6 +56,8 @@
     /** Share of failures at which a replica is shunned, beside twice the fleet's median: a common trouble,
      *  or too much demand, raises the median and shuns nobody. */
     private static final double EXCESS_FAILURES = 0.2;
+    /** Load above which failures are put down to too much work. */
+    private static final double OVERWORKED = 0.8;
     /** Tenths of a ms: memory of what came, was tried and was let in; two to four report periods. */
     private static final double FLOW_MEMORY = 40_000;
     /** Share of the fleet's capacity that may be let in: above it queues outgrow the promised time. */
@@ -133,6 +135,7 @@
         double loadTries;
         double tries;
         double lost;
+        double recentLoad;
         boolean shunned;
         long rest = REST;
         long returning = Long.MIN_VALUE / 2;
@@ -268,6 +271,7 @@
         replica.loadTries = 0;
         replica.tries = 0;
         replica.lost = 0;
+        replica.recentLoad = 0;
         replica.shunned = false;
         replica.rest = REST;
     }
@@ -295,6 +299,7 @@
         int answered = Math.max(0, tries - lost);
         replica.tries += tries;
         replica.lost += lost;
+        replica.recentLoad += tries * load.getOrDefault("util", 0.0);
         tried += tries;
         heardTime = heardTime == 0 ? span : heardTime;
         if (replica.warmth() >= 1) {
@@ -366,6 +371,7 @@
                 replica.returning = now;
                 replica.tries = 0;
                 replica.lost = 0;
+                replica.recentLoad = 0;
                 notes.add("replica " + replica.id + " tried again");
             }
             return true;
@@ -446,6 +452,7 @@
             replica.loadTries *= keepCapacity;
             replica.tries *= keepHealth;
             replica.lost *= keepHealth;
+            replica.recentLoad *= keepHealth;
         }
     }
 
@@ -458,7 +465,10 @@
         double[] shares = known.stream().mapToDouble(Replica::failureShare).sorted().toArray();
         double median = shares[(shares.length - 1) / 2];
         for (Replica replica : known) {
-            if (!replica.shunned && replica.failureShare() > 2 * median + EXCESS_FAILURES) {
+            // Too much work makes a replica fail as well, and shunning it would push the next one over: a
+            // busy one is left to the capacity estimate. A hung one sends no load report, and counts as idle.
+            boolean overworked = replica.recentLoad > OVERWORKED * replica.tries;
+            if (!replica.shunned && !overworked && replica.failureShare() > 2 * median + EXCESS_FAILURES) {
                 replica.shunned = true;
                 dues.add(new Due(now + replica.rest + chance.nextInt((int) GATHER), "return", replica.id));
                 replica.rest = Math.min(LONGEST_REST, 2 * replica.rest);
