Shorten the capacity memory to 6 s, theta to 0.0005, let in 0.85 of the fleet

Cause: after a jam the answered rate stays low in memory for 10 s, and levels follow it down; theta 0.002 is a third of a line.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -29,8 +29,8 @@
     private static final double CHANNEL_PART = 0.5;
     /** Share of the message limit left to ordinary batches; drains and joins need the rest. */
     private static final double MESSAGE_PART = 0.6;
-    /** Tenths of a ms: memory of the capacity estimates (the design's 10 s). */
-    private static final double CAPACITY_MEMORY = 100_000;
+    /** Tenths of a ms: memory of the capacity estimates (the design starts at 10 s). */
+    private static final double CAPACITY_MEMORY = 60_000;
     /** Answers: a replica heard of less leans on the mean of its kind. */
     private static final double PRIOR = 10;
     /** Share: a load report below it is mostly noise, and a rate over it would be as well. */
@@ -42,7 +42,7 @@
     /** Exponent of the fairness; 1 is the design's start. */
     private static final double ALPHA = 1;
     /** Worth of moving the whole traffic once, as a share of its benefit: the switching cost. */
-    private static final double THETA = 0.002;
+    private static final double THETA = 0.0005;
     /** Iterations a report round (the design's 5). */
     private static final int ITERATIONS = 5;
     /** Bisection steps: enough for 12 digits. */
@@ -61,7 +61,7 @@
     /** Tenths of a ms: memory of what came, was tried and was let in; two to four report periods. */
     private static final double FLOW_MEMORY = 40_000;
     /** Share of the fleet's capacity that may be let in: above it queues outgrow the promised time. */
-    private static final double FULL = 0.9;
+    private static final double FULL = 0.85;
     /** Mean load of the fleet below which nothing is refused: a low estimate alone is no evidence. */
     private static final double BUSY = 0.8;
     /** Level: changes below it are not sent; and the least level of any class. */
