Hold levels up in a jam by 0.75 of the calm rate

Cause: in a jam answers fall and levels followed them down to 0.2. It could let in too much where more than a quarter of the capacity is really lost.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -64,6 +64,11 @@
     private static final double FULL = 0.85;
     /** Mean load of the fleet below which nothing is refused: a low estimate alone is no evidence. */
     private static final double BUSY = 0.8;
+    /** Median share of failures up to which the fleet counts as calm, and its capacity as known. */
+    private static final double CALM = 0.05;
+    /** Part of the way that the calm rate moves a batch, and the part of it that a jam leaves. */
+    private static final double STEADY_STEP = 0.1;
+    private static final double JAM_PART = 0.75;
     /** Level: changes below it are not sent; and the least level of any class. */
     private static final double LEVEL_STEP = 0.02;
     private static final double LEAST_LEVEL = 0.05;
@@ -109,6 +114,8 @@
     private double heardTime;
     private double fleetRate;
     private double fleetLoad;
+    private double steadyRate;
+    private double medianFailures;
     private long queuedAt;
     private int serial;
     private final List<String> notes = new ArrayList<>();
@@ -464,6 +471,7 @@
         }
         double[] shares = known.stream().mapToDouble(Replica::failureShare).sorted().toArray();
         double median = shares[(shares.length - 1) / 2];
+        medianFailures = median;
         for (Replica replica : known) {
             // Too much work makes a replica fail as well, and shunning it would push the next one over: a
             // busy one is left to the capacity estimate. A hung one sends no load report, and counts as idle.
@@ -565,7 +573,11 @@
             demand += first[k];
             benefits += first[k] * Double.parseDouble(term(k, "benefit"));
         }
-        double room = FULL * fleetRate;
+        // In a jam answers fall though the capacity is there, and refusing by them would refuse nearly all:
+        // the rate of calmer times holds the room up. Too high where much capacity is really lost.
+        steadyRate = medianFailures < CALM || steadyRate == 0
+                ? steadyRate + (fleetRate - steadyRate) * (steadyRate == 0 ? 1 : STEADY_STEP) : steadyRate;
+        double room = FULL * Math.max(fleetRate, JAM_PART * steadyRate);
         if (fleetLoad < BUSY || demand <= room) {
             Arrays.fill(level, 1);
             return;
