--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -69,6 +69,8 @@
     /** Part of the way that the calm rate moves a batch, and the part of it that a jam leaves. */
     private static final double STEADY_STEP = 0.1;
     private static final double JAM_PART = 0.75;
+    /** Level gained a batch at most: let in all at once, those who waited would jam the fleet again. */
+    private static final double RISE = 0.1;
     /** Level: changes below it are not sent; and the least level of any class. */
     private static final double LEVEL_STEP = 0.02;
     private static final double LEAST_LEVEL = 0.05;
@@ -578,28 +580,20 @@
         steadyRate = medianFailures < CALM || steadyRate == 0
                 ? steadyRate + (fleetRate - steadyRate) * (steadyRate == 0 ? 1 : STEADY_STEP) : steadyRate;
         double room = FULL * Math.max(fleetRate, JAM_PART * steadyRate);
-        if (fleetLoad < BUSY || demand <= room) {
-            Arrays.fill(level, 1);
-            return;
-        }
         double ofWorst = number("goal.worst.class", 0);
         int lesser = -1;
         double least = 1 / demand;
         for (int k = 0; k < classes; k++) {
             double loss = (1 - ofWorst) * Double.parseDouble(term(k, "benefit")) / benefits + ofWorst / first[k];
-            if (loss < least) {
-                least = loss;
-                lesser = k;
-            }
+            lesser = loss < least ? k : lesser;
+            least = Math.min(loss, least);
         }
-        Arrays.fill(level, Math.max(LEAST_LEVEL, room / demand));
-        if (lesser >= 0) {
-            double others = demand - first[lesser];
-            level[lesser] = Math.max(LEAST_LEVEL, Math.min(1, (room - others) / first[lesser]));
-            double left = room - level[lesser] * first[lesser];
-            for (int k = 0; k < classes; k++) {
-                level[k] = k == lesser ? level[k] : Math.max(LEAST_LEVEL, Math.min(1, left / others));
-            }
+        double mine = lesser < 0 ? demand : first[lesser];
+        double low = Math.max(LEAST_LEVEL, Math.min(1, (room - demand + mine) / mine));
+        double high = Math.max(LEAST_LEVEL, Math.min(1, (room - low * mine) / (demand - mine)));
+        for (int k = 0; k < classes; k++) {
+            double to = fleetLoad < BUSY ? 1 : lesser < 0 || k == lesser ? low : high;
+            level[k] = Math.min(to, level[k] + RISE);
         }
     }
 
