--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -43,6 +43,8 @@
     private static final double ALPHA = 1;
     /** Worth of moving the whole traffic once, as a share of its benefit: the switching cost. */
     private static final double THETA = 0.0005;
+    /** Part of the price of crossing zones that a path bears in the solve: moves a fifth of a line a round. */
+    private static final double NEAR = 0.03;
     /** Iterations a report round (the design's 5). */
     private static final int ITERATIONS = 5;
     /** Bisection steps: enough for 12 digits. */
@@ -655,7 +657,8 @@
     /** A request's own copy of a path's rate, held at the current rate by the switching cost. */
     private double copy(Replica path, int r, double penalty, double marginal) {
         double current = path.published[r] * total[r];
-        double move = path.mean[r] + penalty * (marginal - path.dual[r]) - current;
+        double crossing = path.zone.equals(zones.get(r / classes)) ? 0 : NEAR * number("price.crossing", 0);
+        double move = path.mean[r] + penalty * (marginal - path.dual[r] - crossing) - current;
         return current + Math.signum(move) * Math.max(0, Math.abs(move) - penalty * THETA);
     }
 
