--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -3,8 +3,9 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Iterator;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -43,7 +44,7 @@
     private static final double ALPHA = 1;
     /** Worth of moving the whole traffic once, as a share of its benefit: the switching cost. */
     private static final double THETA = 0.0005;
-    /** Part of the price of crossing zones that a path bears in the solve: moves a fifth of a line a round. */
+    /** Part of the price of crossing zones that a path bears in the solve: a fifth of a line a round. */
     private static final double NEAR = 0.03;
     /** Iterations a report round (the design's 5). */
     private static final int ITERATIONS = 5;
@@ -89,6 +90,11 @@
     /** Tenths of a ms beyond the longest transit after which an unanswered mark means a queue. */
     private static final long MARK_SLACK = 5_000;
 
+    /** Share of the channel's limit that a batch with drains may fill; the rest is for those who join. */
+    private static final double PRESSING_PART = 0.9;
+    /** Trying again only after proof that the first try never ran: safe for every class. */
+    private static final int AGAIN = 1;
+    /** The wire's numbers for marks end here. */
     private static final int LAST_SERIAL = 65_535;
 
     // ---- what is known --------------------------------------------------------------------------
@@ -96,90 +102,79 @@
     private final RandomGenerator chance;
     private final List<String> zones;
     private final int classes;
+    /** A request is a class of a zone: zone number times classes, plus class; its table has that number. */
     private final int requests;
+    private final double crossing;
     private final TreeMap<Long, Replica> replicas = new TreeMap<>();
     private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
-    private final TreeSet<Due> dues = new TreeSet<>();
-    private final double[] weight;
-    private final double[] oldWeight;
-    private final double[] total;
+    private final TreeSet<Due> dues = new TreeSet<>(
+            Comparator.comparingLong(Due::at).thenComparing(Due::batch).thenComparing(Due::replica));
+    private final ArrayDeque<String> notes = new ArrayDeque<>();
     private long now;
-    private long lastDecay;
+    private boolean timerSet;
     private boolean urgent = true;
     private boolean held;
-    private boolean timerSet;
     private double queued;
+    private long queuedAt;
+    private int serial;
+    // By request: demand shares, class totals, levels as sent.
+    private final double[] weight;
+    private final double[] oldWeight;
+    private final double[] total;
+    private final double[] sentLevel;
+    // By class, faded: what came, and the level over time; then the tries, and the time that all this covers.
     private final double[] came;
     private final double[] level;
-    private final double[] sentLevel;
     private final double[] levelTime;
-    private double flowTime;
     private double tried;
+    private double flowTime;
     private double heardTime;
+    private long fadedAt;
     private double fleetRate;
-    private double fleetLoad;
     private double steadyRate;
+    private double fleetLoad;
     private double medianFailures;
-    private long queuedAt;
-    private int serial;
-    private final List<String> notes = new ArrayList<>();
 
-    /** One line of work that falls due at a time; the only other clock beside the timer. */
-    private record Due(long at, String what, long whom) implements Comparable<Due> {
-        @Override
-        public int compareTo(Due other) {
-            int byTime = Long.compare(at, other.at);
-            int byWork = byTime != 0 ? byTime : what.compareTo(other.what);
-            return byWork != 0 ? byWork : Long.compare(whom, other.whom);
-        }
-    }
+    /** Work that falls due: the next batch, or the return of a shunned replica. */
+    private record Due(long at, boolean batch, long replica) { }
 
-    /** A path for each request, and the one link they share: its capacity. */
+    /** A path of every request, and the one link that they share there. */
     private final class Replica {
         final long id;
         String zone;
         String kind;
         Listed.Health health = Listed.Health.READY;
         long started;
+        // Evidence, faded: for the capacity, then for the health.
         double answered;
-        double loadSum;
-        double loadTries;
+        double busySum;
+        double busyTries;
         double tries;
         double lost;
-        double recentLoad;
+        double recentBusy;
         boolean shunned;
         long rest = REST;
-        long returning = Long.MIN_VALUE / 2;
+        long returned = Long.MIN_VALUE / 2;
+        // The solve: the link's capacity; the request's copy, the link's copy and their mean; the dual.
         double capacity;
         final double[] x = new double[requests];
         final double[] z = new double[requests];
-        final double[] dual = new double[requests];
         final double[] mean = new double[requests];
+        final double[] dual = new double[requests];
         final double[] published = new double[requests];
 
         Replica(long id) {
             this.id = id;
         }
 
-        /**
-         * Carries the copies over to a changed capacity and demand in proportion: they stay feasible when
-         * a capacity falls, and small requests are not bent by what large ones gain. A new path starts at
-         * the optimum of the undisturbed problem, so that it need not be sought.
-         */
-        void carry(double oldCapacity, double[] oldWeight) {
-            for (int r = 0; r < requests; r++) {
-                boolean held = oldCapacity > 0 && capacity > 0;
-                double scale = held ? capacity / oldCapacity * weight[r] / oldWeight[r] : 0;
-                x[r] = held ? x[r] * scale : weight[r] * capacity;
-                z[r] = held ? z[r] * scale : weight[r] * capacity;
-                dual[r] = held ? dual[r] : Math.pow(weight[r], 1 - ALPHA);
-            }
-        }
-
         boolean usable() {
             return health == Listed.Health.READY;
         }
 
+        boolean inTables() {
+            return Arrays.stream(published).anyMatch(line -> line > 0);
+        }
+
         /** Part of its full capacity that it has at least: a new one starts cold and warms evenly. */
         double warmth() {
             double least = number("cold.share", 0.1);
@@ -188,25 +183,51 @@
             return started == 0 || age >= span ? 1 : least + (1 - least) * Math.max(0, age) / span;
         }
 
-        boolean inTables() {
-            return Arrays.stream(published).anyMatch(line -> line > 0);
-        }
-
         /** Share of its time that it was busy, for all who send to it. */
-        double load() {
-            return loadTries > 0 ? Math.max(LEAST_LOAD, loadSum / loadTries) : 1;
+        double busy() {
+            return busyTries > 0 ? Math.max(LEAST_LOAD, busySum / busyTries) : 1;
         }
 
         double failureShare() {
             return lost / tries;
         }
+
+        void forget() {
+            answered = busySum = busyTries = tries = lost = recentBusy = 0;
+            shunned = false;
+        }
+
+        void fade(double capacityKept, double healthKept) {
+            answered *= capacityKept;
+            busySum *= capacityKept;
+            busyTries *= capacityKept;
+            tries *= healthKept;
+            lost *= healthKept;
+            recentBusy *= healthKept;
+        }
+
+        /**
+         * Carries the copies over to a changed capacity and demand in proportion: they stay feasible when
+         * a capacity falls, and small requests are not bent by what large ones gain. A new path starts at
+         * the optimum of the undisturbed problem, so that it need not be sought.
+         */
+        void carry(double oldCapacity) {
+            boolean known = oldCapacity > 0 && capacity > 0;
+            for (int r = 0; r < requests; r++) {
+                double scale = known ? capacity / oldCapacity * weight[r] / oldWeight[r] : 0;
+                x[r] = known ? x[r] * scale : weight[r] * capacity;
+                z[r] = known ? z[r] * scale : weight[r] * capacity;
+                dual[r] = known ? dual[r] : Math.pow(weight[r], 1 - ALPHA);
+            }
+        }
     }
 
     private static final class Proxy {
         final int zone;
         final double[] rate;
         final ArrayDeque<Long> messages = new ArrayDeque<>();
-        final ArrayDeque<long[]> unanswered = new ArrayDeque<>();
+        /** Marks without an answer: serial, time, lines. */
+        final ArrayDeque<long[]> marks = new ArrayDeque<>();
         boolean bound;
 
         Proxy(int zone, double[] rate) {
@@ -221,18 +242,19 @@
         chance = new SplittableRandom(seed);
         zones = Arrays.asList(terms.getOrDefault("zones", "").split(","));
         classes = (int) number("classes", 0);
+        crossing = NEAR * number("price.crossing", 0);
         requests = zones.size() * classes;
         weight = new double[requests];
         oldWeight = new double[requests];
         total = new double[requests];
+        sentLevel = new double[requests];
         came = new double[classes];
         level = new double[classes];
-        sentLevel = new double[requests];
         levelTime = new double[classes];
         Arrays.fill(level, 1);
-        lastDecay = now;
+        fadedAt = now;
         queuedAt = now;
-        dues.add(new Due(now, "batch", 0));
+        dues.add(new Due(now, true, 0));
     }
 
     private double number(String name, double otherwise) {
@@ -240,54 +262,41 @@
         return value == null || value.isEmpty() ? otherwise : Double.parseDouble(value);
     }
 
-    private String term(int k, String name) {
-        return terms.getOrDefault("class." + k + "." + name, "");
+    private double benefit(int k) {
+        return number("class." + k + ".benefit", 1);
     }
 
     // ---- inputs ---------------------------------------------------------------------------------
 
-    /** The list: changes only, or the whole of it; a stale one is what an instance starts with. */
-    public void listed(long now, List<Listed> entries, boolean changes, boolean stale) {
+    /** The list: changes only, or the whole of it. */
+    public void listed(long now, List<Listed> entries, boolean changes) {
         this.now = now;
-        TreeSet<Long> seen = new TreeSet<>();
+        TreeSet<Long> missing = new TreeSet<>(changes ? List.of() : replicas.keySet());
         for (Listed entry : entries) {
-            seen.add(entry.replica());
+            missing.remove(entry.replica());
             Replica replica = replicas.computeIfAbsent(entry.replica(), Replica::new);
             boolean restarted = entry.started() > replica.started;
             if (restarted || entry.health() != replica.health) {
                 urgent |= replica.inTables();
-                notes.add("replica " + entry.replica() + " " + entry.health() + (restarted ? " started" : ""));
+                notes.add("replica " + replica.id + " " + entry.health() + (restarted ? " started" : ""));
             }
             if (restarted) {
                 replica.started = entry.started();
-                forget(replica);
+                replica.rest = REST;
+                replica.forget();
             }
             replica.zone = entry.zone();
             replica.kind = entry.kind();
             replica.health = entry.health();
         }
-        if (!changes) {
-            for (Replica replica : replicas.values()) {
-                if (!seen.contains(replica.id) && replica.health != Listed.Health.GONE) {
-                    replica.health = Listed.Health.GONE;
-                    urgent |= replica.inTables();
-                }
-            }
+        for (Long id : missing) {
+            replicas.get(id).health = Listed.Health.GONE;
+            urgent |= replicas.get(id).inTables();
         }
     }
 
-    private static void forget(Replica replica) {
-        replica.answered = 0;
-        replica.loadSum = 0;
-        replica.loadTries = 0;
-        replica.tries = 0;
-        replica.lost = 0;
-        replica.recentLoad = 0;
-        replica.shunned = false;
-        replica.rest = REST;
-    }
-
-    public void joined(long now, int number, String zone, boolean fresh, double usualRate) {
+    /** A proxy's stream is up; the proxy holds what it held. */
+    public void joined(long now, int number, String zone, double usualRate) {
         this.now = now;
         double[] rate = new double[classes];
         Arrays.fill(rate, usualRate / Math.max(1, classes));
@@ -299,37 +308,33 @@
         proxies.remove(number);
     }
 
-    /** What the proxies of a zone met at a replica. */
-    public void heard(long now, String zone, long id, int tries, int lost, long span, long latency,
-            Map<String, Double> load) {
+    /** What proxies met at a replica over a span, and its load if an answer told it. */
+    public void heard(long now, long id, int count, int failed, long span, Double busy) {
         this.now = now;
         Replica replica = replicas.get(id);
         if (replica == null) {
             return;
         }
-        int answered = Math.max(0, tries - lost);
-        replica.tries += tries;
-        replica.lost += lost;
-        replica.recentLoad += tries * load.getOrDefault("util", 0.0);
-        tried += tries;
+        tried += count;
         heardTime = heardTime == 0 ? span : heardTime;
+        replica.tries += count;
+        replica.lost += failed;
+        replica.recentBusy += busy == null ? 0 : count * busy;
         if (replica.warmth() >= 1) {
-            replica.answered += answered;
-            Double busy = load.get("util");
-            if (busy != null) {
-                replica.loadSum += tries * busy;
-                replica.loadTries += tries;
-            }
+            replica.answered += Math.max(0, count - failed);
+            replica.busySum += busy == null ? 0 : count * busy;
+            replica.busyTries += busy == null ? 0 : count;
         }
     }
 
-    public void usage(long now, int number, String type, int came, int unanswered, long span) {
+    /** Transactions of a class that came to a proxy over a span. */
+    public void usage(long now, int number, String type, int count, long span) {
         this.now = now;
         Proxy proxy = proxies.get(number);
         for (int k = 0; proxy != null && span > 0 && k < classes; k++) {
-            if (term(k, "name").equals(type)) {
-                this.came[k] += came;
-                proxy.rate[k] += DEMAND_STEP * (came * 10_000.0 / span - proxy.rate[k]);
+            if (type.equals(terms.get("class." + k + ".name"))) {
+                came[k] += count;
+                proxy.rate[k] += DEMAND_STEP * (count * 10_000.0 / span - proxy.rate[k]);
             }
         }
     }
@@ -337,21 +342,13 @@
     public void caughtUp(long now, int number, int serial) {
         this.now = now;
         Proxy proxy = proxies.get(number);
-        if (proxy != null && proxy.unanswered.stream().anyMatch(mark -> mark[0] == serial)) {
-            while (proxy.unanswered.removeFirst()[0] != serial) {
+        if (proxy != null && proxy.marks.stream().anyMatch(mark -> mark[0] == serial)) {
+            while (proxy.marks.removeFirst()[0] != serial) {
                 continue;
             }
         }
     }
 
-    public void probed(long now, long replica, boolean answered, long took, Map<String, Double> load) {
-        this.now = now;
-    }
-
-    public void told(long now, int governor, byte[] text) {
-        this.now = now;
-    }
-
     public void woken(long now) {
         this.now = now;
         timerSet = false;
@@ -361,69 +358,57 @@
 
     /** Takes one decision, if there is one to take now. */
     public boolean decide(Orders orders) {
+        Due due = dues.first();
         if (!timerSet) {
             timerSet = true;
             orders.wake(TURN);
-            return true;
-        }
-        if (!notes.isEmpty()) {
-            orders.log(notes.remove(0));
-            return true;
-        }
-        Due due = dues.first();
-        if (due.at <= now || urgent) {
-            if (urgent || due.what.equals("batch")) {
-                return batch(orders);
-            }
+        } else if (!notes.isEmpty()) {
+            orders.log(notes.remove());
+        } else if (urgent || due.at <= now && due.batch) {
+            batch(orders);
+        } else if (due.at <= now) {
             dues.pollFirst();
-            Replica replica = replicas.get(due.whom);
-            if (replica != null && replica.shunned) {
-                replica.shunned = false;
-                replica.returning = now;
-                replica.tries = 0;
-                replica.lost = 0;
-                replica.recentLoad = 0;
-                notes.add("replica " + replica.id + " tried again");
-            }
-            return true;
+            giveBack(replicas.get(due.replica));
+        } else {
+            return proxies.entrySet().stream().anyMatch(e -> join(orders, e.getKey(), e.getValue()));
         }
-        for (Map.Entry<Integer, Proxy> entry : proxies.entrySet()) {
-            if (!entry.getValue().bound && join(orders, entry.getKey(), entry.getValue())) {
-                return true;
-            }
+        return true;
+    }
+
+    private void giveBack(Replica replica) {
+        if (replica != null && replica.shunned) {
+            replica.forget();
+            replica.returned = now;
+            notes.add("replica " + replica.id + " tried again");
         }
-        return false;
     }
 
     /** Lays the tables of its zone under a proxy; never one without a line. */
     private boolean join(Orders orders, int number, Proxy proxy) {
         double lines = number("message.head", 0);
-        for (int r = proxy.zone * classes; r < (proxy.zone + 1) * classes; r++) {
-            double held = 2;
-            for (Replica replica : replicas.values()) {
-                held += replica.published[r] > 0 ? 1 : 0;
-            }
-            if (held == 2) {
+        int first = proxy.zone * classes;
+        for (int r = first; r < first + classes && !proxy.bound; r++) {
+            int request = r;
+            long filled = replicas.values().stream().filter(path -> path.published[request] > 0).count();
+            if (filled == 0) {
                 return false;
             }
-            lines += held;
+            lines += filled + 2;
         }
-        if (queue() + lines > number("channel.limit", 1e9)) {
+        if (proxy.bound || queue() + lines > number("channel.limit", Double.MAX_VALUE)) {
             return false;
         }
         for (int k = 0; k < classes; k++) {
-            orders.bind(proxy.zone * classes + k, number, 1 << k);
+            orders.bind(first + k, number, 1 << k);
         }
         proxy.bound = true;
-        queued += lines;
         proxy.messages.add(now);
+        queued += lines;
         return true;
     }
 
     /** Judges, solves and sends the differences, those of drains first. */
-    private boolean batch(Orders orders) {
-        dues.removeIf(due -> due.what.equals("batch"));
-        dues.add(new Due(now + GATHER, "batch", 0));
+    private void batch(Orders orders) {
         boolean pressing = urgent || held;
         urgent = false;
         held = false;
@@ -436,57 +421,46 @@
             iterate();
         }
         publish(orders, pressing);
-        if (held) {
-            dues.add(new Due(now + TURN, "batch", 0));
-        }
-        return true;
+        dues.removeIf(Due::batch);
+        dues.add(new Due(now + (held ? TURN : GATHER), true, 0));
     }
 
     /** Old evidence fades, by the time passed and not by the number of reports. */
     private void fade() {
-        double keepCapacity = Math.exp((lastDecay - now) / CAPACITY_MEMORY);
-        double keepHealth = Math.exp((lastDecay - now) / HEALTH_MEMORY);
-        double flow = Math.exp((lastDecay - now) / FLOW_MEMORY);
+        double capacityKept = Math.exp((fadedAt - now) / CAPACITY_MEMORY);
+        double healthKept = Math.exp((fadedAt - now) / HEALTH_MEMORY);
+        double flowKept = Math.exp((fadedAt - now) / FLOW_MEMORY);
+        fadedAt = now;
+        replicas.values().forEach(replica -> replica.fade(capacityKept, healthKept));
         if (heardTime > 0) {
-            heardTime = heardTime * keepCapacity + CAPACITY_MEMORY * (1 - keepCapacity);
-            flowTime = flowTime * flow + FLOW_MEMORY * (1 - flow);
-            tried *= flow;
+            heardTime = heardTime * capacityKept + CAPACITY_MEMORY * (1 - capacityKept);
+            flowTime = flowTime * flowKept + FLOW_MEMORY * (1 - flowKept);
+            tried *= flowKept;
             for (int k = 0; k < classes; k++) {
-                came[k] *= flow;
-                levelTime[k] = levelTime[k] * flow + level[k] * FLOW_MEMORY * (1 - flow);
+                came[k] *= flowKept;
+                levelTime[k] = levelTime[k] * flowKept + level[k] * FLOW_MEMORY * (1 - flowKept);
             }
         }
-        lastDecay = now;
-        for (Replica replica : replicas.values()) {
-            replica.answered *= keepCapacity;
-            replica.loadSum *= keepCapacity;
-            replica.loadTries *= keepCapacity;
-            replica.tries *= keepHealth;
-            replica.lost *= keepHealth;
-            replica.recentLoad *= keepHealth;
-        }
     }
 
     /** A replica is judged by its share of failures against the fleet's median. */
     private void judge() {
-        List<Replica> known = replicas.values().stream().filter(r -> r.usable() && r.tries >= FEW_TRIES).toList();
-        if (known.isEmpty()) {
-            return;
-        }
+        List<Replica> known = replicas.values().stream()
+                .filter(replica -> replica.usable() && replica.tries >= FEW_TRIES).toList();
         double[] shares = known.stream().mapToDouble(Replica::failureShare).sorted().toArray();
-        double median = shares[(shares.length - 1) / 2];
-        medianFailures = median;
+        medianFailures = known.isEmpty() ? 0 : shares[(shares.length - 1) / 2];
         for (Replica replica : known) {
             // Too much work makes a replica fail as well, and shunning it would push the next one over: a
-            // busy one is left to the capacity estimate. A hung one sends no load report, and counts as idle.
-            boolean overworked = replica.recentLoad > OVERWORKED * replica.tries;
-            if (!replica.shunned && !overworked && replica.failureShare() > 2 * median + EXCESS_FAILURES) {
+            // busy one is left to the capacity estimate. A hung one tells no load, and counts as idle.
+            boolean overworked = replica.recentBusy > OVERWORKED * replica.tries;
+            boolean failing = replica.failureShare() > 2 * medianFailures + EXCESS_FAILURES;
+            if (!replica.shunned && failing && !overworked) {
                 replica.shunned = true;
-                dues.add(new Due(now + replica.rest + chance.nextInt((int) GATHER), "return", replica.id));
+                dues.add(new Due(now + replica.rest + chance.nextLong(GATHER), false, replica.id));
                 replica.rest = Math.min(LONGEST_REST, 2 * replica.rest);
-                notes.add(String.format("replica %d shunned, failures %.2f, median %.2f", replica.id,
-                        replica.failureShare(), median));
-            } else if (!replica.shunned && now - replica.returning > RETURN) {
+                notes.add(String.format(Locale.ROOT, "replica %d shunned, failures %.2f, median %.2f",
+                        replica.id, replica.failureShare(), medianFailures));
+            } else if (!replica.shunned && now - replica.returned > RETURN) {
                 replica.rest = REST;
             }
         }
@@ -494,23 +468,17 @@
 
     /** Request weights: shares of demand, by zone and class. */
     private void weighDemand() {
-        double all = 0;
         System.arraycopy(weight, 0, oldWeight, 0, requests);
         Arrays.fill(weight, 0);
         for (Proxy proxy : proxies.values()) {
             for (int k = 0; k < classes; k++) {
                 weight[proxy.zone * classes + k] += proxy.rate[k];
-                all += proxy.rate[k];
             }
         }
-        double sum = 0;
-        for (int r = 0; r < requests; r++) {
-            weight[r] = Math.max(LEAST_DEMAND, all > 0 ? weight[r] / all : 0);
-            sum += weight[r];
-        }
-        for (int r = 0; r < requests; r++) {
-            weight[r] /= sum;
-        }
+        double all = Arrays.stream(weight).sum();
+        Arrays.setAll(weight, r -> Math.max(LEAST_DEMAND, all > 0 ? weight[r] / all : 0));
+        double sum = Arrays.stream(weight).sum();
+        Arrays.setAll(weight, r -> weight[r] / sum);
     }
 
     /**
@@ -523,39 +491,37 @@
         double[] fleet = new double[2];
         for (Replica replica : replicas.values()) {
             if (replica.usable() && replica.answered >= 1) {
-                double raw = replica.answered / replica.load();
                 double[] kind = kinds.computeIfAbsent(replica.kind, name -> new double[2]);
-                kind[0] += raw;
-                kind[1]++;
-                fleet[0] += raw;
-                fleet[1]++;
+                for (double[] peers : List.of(fleet, kind)) {
+                    peers[0] += replica.answered / replica.busy();
+                    peers[1]++;
+                }
             }
         }
+        double[] old = replicas.values().stream().mapToDouble(replica -> replica.capacity).toArray();
         double sum = 0;
         double busy = 0;
-        TreeMap<Long, Double> old = new TreeMap<>();
         for (Replica replica : replicas.values()) {
             double[] peers = kinds.getOrDefault(replica.kind, fleet);
             double mean = peers[1] > 0 ? peers[0] / peers[1] : 1;
-            double n = replica.warmth() < 1 ? 0 : replica.answered;
-            old.put(replica.id, replica.capacity);
-            replica.capacity = n == 0 ? mean : (n * n / replica.load() + PRIOR * mean) / (n + PRIOR);
-            double back = (double) (now - replica.returning) / RETURN;
-            double part = replica.shunned ? 0 : Math.min(1, TRIAL + (1 - TRIAL) * back);
-            replica.capacity *= replica.usable() ? part * replica.warmth() : 0;
+            double own = replica.answered / replica.busy();
+            double back = TRIAL + (1 - TRIAL) * (now - replica.returned) / RETURN;
+            double part = replica.shunned || !replica.usable() ? 0 : Math.min(1, back) * replica.warmth();
+            replica.capacity = part * (replica.answered * own + PRIOR * mean) / (replica.answered + PRIOR);
             sum += replica.capacity;
-            busy += replica.usable() ? replica.capacity * replica.load() : 0;
+            busy += replica.capacity * replica.busy();
         }
         fleetRate = heardTime > 0 ? sum / heardTime : 0;
         fleetLoad = sum > 0 ? busy / sum : 0;
         // Guards a cold replica when clients and proxies together try far more than the fleet can do, or
         // when much of it is cold; could hold a new one back for a while after a short storm.
-        double strain = flowTime > 0 && sum > 0 ? tried / flowTime * heardTime / sum : 0;
+        double strain = flowTime > 0 && fleetRate > 0 ? tried / flowTime / fleetRate : 0;
         double bearable = COLD_PART * number("fall.multiple", 1);
+        int i = 0;
         for (Replica replica : replicas.values()) {
             replica.capacity *= replica.warmth() < 1 && strain > bearable ? bearable / strain : 1;
             replica.capacity = sum > 0 ? replica.capacity / sum : 0;
-            replica.carry(old.get(replica.id), oldWeight);
+            replica.carry(old[i++]);
         }
     }
 
@@ -575,7 +541,7 @@
         for (int k = 0; k < classes; k++) {
             first[k] = came[k] / flowTime / (1 + repeats * (1 - levelTime[k] / flowTime));
             demand += first[k];
-            benefits += first[k] * Double.parseDouble(term(k, "benefit"));
+            benefits += first[k] * benefit(k);
         }
         // In a jam answers fall though the capacity is there, and refusing by them would refuse nearly all:
         // the rate of calmer times holds the room up. Too high where much capacity is really lost.
@@ -586,7 +552,7 @@
         int lesser = -1;
         double least = 1 / demand;
         for (int k = 0; k < classes; k++) {
-            double loss = (1 - ofWorst) * Double.parseDouble(term(k, "benefit")) / benefits + ofWorst / first[k];
+            double loss = (1 - ofWorst) * benefit(k) / benefits + ofWorst / first[k];
             lesser = loss < least ? k : lesser;
             least = Math.min(loss, least);
         }
@@ -657,8 +623,8 @@
     /** A request's own copy of a path's rate, held at the current rate by the switching cost. */
     private double copy(Replica path, int r, double penalty, double marginal) {
         double current = path.published[r] * total[r];
-        double crossing = path.zone.equals(zones.get(r / classes)) ? 0 : NEAR * number("price.crossing", 0);
-        double move = path.mean[r] + penalty * (marginal - path.dual[r] - crossing) - current;
+        double cost = path.zone.equals(zones.get(r / classes)) ? 0 : crossing;
+        double move = path.mean[r] + penalty * (marginal - path.dual[r] - cost) - current;
         return current + Math.signum(move) * Math.max(0, Math.abs(move) - penalty * THETA);
     }
 
@@ -700,111 +666,92 @@
         return ALPHA / Math.sqrt(least * most);
     }
 
-    /** One line that is to change, and by how much. */
+    /** A line of a request's table, or its level where no replica is named, and how much it matters. */
     private record Change(int request, Replica replica, double to, double size) { }
 
     private void publish(Orders orders, boolean pressing) {
-        List<Change> changes = changes();
-        double limit = number("channel.limit", 1e9);
-        double room = limit * (pressing ? 0.9 : CHANNEL_PART) - queue();
-        double[] heads = new double[zones.size()];
-        long[] bound = new long[zones.size()];
-        boolean[] full = new boolean[zones.size()];
+        double head = number("message.head", 0);
         double most = number("messages.limit", 0);
+        double part = pressing ? PRESSING_PART : CHANNEL_PART;
+        double room = number("channel.limit", Double.MAX_VALUE) * part - queue();
+        double[] bound = new double[zones.size()];
+        double[] sent = new double[zones.size()];
+        boolean[] full = new boolean[zones.size()];
         for (Proxy proxy : proxies.values()) {
+            proxy.messages.removeIf(at -> at <= now - number("messages.span", 0));
             bound[proxy.zone] += proxy.bound ? 1 : 0;
-            while (!proxy.messages.isEmpty()
-                    && proxy.messages.peek() <= now - number("messages.span", 0)) {
-                proxy.messages.poll();
-            }
-            int sent = proxy.messages.size();
-            full[proxy.zone] |= most > 0 && sent >= Math.floor(most * (pressing ? 1 : MESSAGE_PART));
+            double limit = Math.floor(most * (pressing ? 1 : MESSAGE_PART));
+            full[proxy.zone] |= most > 0 && proxy.messages.size() >= limit;
         }
-        double[] sent = new double[zones.size()];
-        for (int r = 0; r < requests; r++) {
-            int zone = r / classes;
-            double to = Math.round(level[r % classes] * 100) / 100.0;
-            boolean moved = Math.abs(to - sentLevel[r]) > LEVEL_STEP || to == 1 && sentLevel[r] < 1;
-            double cost = bound[zone] * (sent[zone] == 0 ? 2 + number("message.head", 0) : 1);
-            if (moved && !full[zone] && cost <= room) {
-                room -= cost;
-                sent[zone]++;
-                sentLevel[r] = to;
-                orders.admit(r, 0, to, again(r % classes));
-            }
-        }
-        for (Change change : changes) {
+        for (Change change : changes()) {
             int zone = change.request / classes;
-            double cost = bound[zone] * (sent[zone] == 0 ? 2 + number("message.head", 0) : 1);
+            double cost = bound[zone] * (sent[zone] == 0 ? 2 + head : 1);
             if (full[zone] || cost > room) {
-                held |= change.to == 0;
+                held |= change.replica != null && change.to == 0;
                 continue;
             }
             room -= cost;
             sent[zone]++;
-            change.replica.published[change.request] = change.to;
-            orders.line(change.request, change.replica.id, change.to);
+            if (change.replica == null) {
+                sentLevel[change.request] = change.to;
+                orders.admit(change.request, 0, change.to, AGAIN);
+            } else {
+                change.replica.published[change.request] = change.to;
+                orders.line(change.request, change.replica.id, change.to);
+            }
         }
-        serial = serial % (LAST_SERIAL - 1) + 1;
+        serial = serial % LAST_SERIAL + 1;
         boolean any = false;
         for (Proxy proxy : proxies.values()) {
             if (proxy.bound && sent[proxy.zone] > 0) {
-                double lines = sent[proxy.zone] + 1 + number("message.head", 0);
+                double lines = sent[proxy.zone] + 1 + head;
                 queued += lines;
                 proxy.messages.add(now);
-                proxy.unanswered.add(new long[] {serial, now, (long) lines});
+                proxy.marks.add(new long[] {serial, now, (long) lines});
                 any = true;
             }
         }
         if (any) {
             orders.mark(serial, false);
         }
-        replicas.values().removeIf(r -> r.health == Listed.Health.GONE && !r.inTables());
+        replicas.values().removeIf(replica -> replica.health == Listed.Health.GONE && !replica.inTables());
     }
 
+    /** What differs enough from what was sent: removals first, then levels and new lines, then by size. */
     private List<Change> changes() {
         List<Change> changes = new ArrayList<>();
-        int lines = (int) replicas.values().stream().filter(Replica::usable).count();
+        double lines = replicas.values().stream().filter(Replica::usable).count();
         for (int r = 0; r < requests; r++) {
+            double share = Math.round(level[r % classes] * 100) / 100.0;
+            if (Math.abs(share - sentLevel[r]) > LEVEL_STEP || share == 1 && sentLevel[r] < 1) {
+                changes.add(new Change(r, null, share, 1));
+            }
             double sum = 0;
             for (Replica path : replicas.values()) {
                 sum += path.usable() ? path.z[r] : 0;
             }
             for (Replica path : replicas.values()) {
                 double old = path.published[r];
-                double to = 0;
-                if (path.usable()) {
-                    to = sum > 0 ? Math.max(FLOOR / lines, path.z[r] / sum) : old > 0 ? old : 1.0 / lines;
-                    to = Math.round(to * 1e5) / 1e5;
-                }
+                double rate = sum > 0 ? Math.max(FLOOR / lines, path.z[r] / sum) : old > 0 ? old : 1 / lines;
+                double to = path.usable() ? Math.round(rate * 1e5) / 1e5 : 0;
                 double size = Math.abs(to - old);
                 if (to == 0 ? old > 0 : size > SKIP * old) {
                     changes.add(new Change(r, path, to, to == 0 ? 2 : old == 0 ? 1 + size : size));
                 }
             }
         }
-        changes.sort((a, b) -> Double.compare(b.size, a.size));
+        changes.sort(Comparator.comparingDouble(Change::size).reversed());
         return changes;
     }
 
-    /** Trying again: only after proof that the first try never ran; safe for every class. */
-    private int again(int k) {
-        return 1;
-    }
-
     /** Lines that may wait in the channel: by its usual pace, or by marks long unanswered. */
     private double queue() {
-        double pace = number("channel.pace", 1e6) / 10_000;
+        double pace = number("channel.pace", Double.MAX_VALUE) / 10_000;
         queued = Math.max(0, queued - (now - queuedAt) * pace);
         queuedAt = now;
-        double overdue = 0;
         double patience = number("transit.longest", 0) + queued / pace + MARK_SLACK;
-        for (Proxy proxy : proxies.values()) {
-            for (Iterator<long[]> marks = proxy.unanswered.iterator(); marks.hasNext();) {
-                long[] mark = marks.next();
-                overdue += now - mark[1] > patience ? mark[2] : 0;
-            }
-        }
+        double overdue = proxies.values().stream().flatMap(proxy -> proxy.marks.stream())
+                .filter(mark -> now - mark[1] > patience).mapToDouble(mark -> mark[2]).sum();
         return Math.max(queued, overdue);
     }
 }
--- a/src/main/java/rockshift/Main.java
+++ b/src/main/java/rockshift/Main.java
@@ -10,7 +10,7 @@
 
     public static void main(String[] arguments) throws IOException {
         if (arguments.length != 1 || !arguments[0].equals("drill")) {
-            System.err.println("usage: rockshift drill   play decisions on the simulator's wire (stdin, stdout)");
+            System.err.println("usage: rockshift drill   (plays on the simulator's wire: stdin, stdout)");
             System.exit(2);
         }
         System.exit(Drill.run(System.in, System.out));
--- a/src/main/java/rockshift/drill/Codec.java
+++ b/src/main/java/rockshift/drill/Codec.java
@@ -202,15 +202,6 @@
         return bytes.length == 0 ? "-" : java.util.HexFormat.of().formatHex(bytes);
     }
 
-    byte[] bytes(String expected) {
-        String part = text(expected);
-        try {
-            return part.equals("-") ? new byte[0] : java.util.HexFormat.of().parseHex(part);
-        } catch (IllegalArgumentException wrong) {
-            throw new Malformed(line, expected + " as hex digits");
-        }
-    }
-
     static List<Listed> rows(int count, LineSource lines) throws java.io.IOException {
         List<Listed> rows = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
--- a/src/main/java/rockshift/drill/Drill.java
+++ b/src/main/java/rockshift/drill/Drill.java
@@ -131,42 +131,39 @@
                     if (rows == null) {
                         throw new Codec.Malformed(event.name(), "a SHEET of that page before it");
                     }
-                    logic.listed(now, rows, kind.equals("INCREMENTAL"), kind.equals("SAVED"));
+                    logic.listed(now, rows, kind.equals("INCREMENTAL"));
                 }
             }
             case "JOINED" -> {
-                boolean fresh = event.flag("whether it is fresh");
+                event.flag("whether it holds standing tables only");
                 String zone = event.text("a zone");
-                logic.joined(now, event.small("a proxy"), zone, fresh, event.number("its size"));
+                logic.joined(now, event.small("a proxy"), zone, event.number("its size"));
             }
             case "LEFT" -> logic.left(now, event.small("a proxy"));
             case "HEARD" -> {
-                long latency = event.tenths("a mean time");
-                String zone = event.text("a zone");
+                event.tenths("a mean time");
+                event.text("a zone");
                 long replica = event.whole("a replica");
                 int lost = event.small("lost tries");
                 int tries = event.small("tries");
                 long span = event.tenths("a span");
-                logic.heard(now, zone, replica, tries, lost, span, latency, event.load("a load report"));
+                logic.heard(now, replica, tries, lost, span, event.load("a load report").get("util"));
             }
             case "PROXY_STATS" -> {
-                int unanswered = event.small("lost transactions");
+                event.whole("lost transactions");
                 int proxy = event.small("a proxy");
                 String type = event.text("a class");
                 long span = event.tenths("a span");
-                logic.usage(now, proxy, type, event.small("transactions"), unanswered, span);
+                logic.usage(now, proxy, type, event.small("transactions"), span);
             }
             case "CAUGHT_UP" -> {
                 int serial = event.small("a serial");
                 logic.caughtUp(now, event.small("a proxy"), serial);
             }
-            case "PING_RESULT" -> {
-                long replica = event.whole("a replica");
-                boolean answered = event.text("an outcome").equals("S");
-                logic.probed(now, replica, answered, event.tenths("a time"), event.load("a load report"));
-            }
-            case "INBOX" -> logic.told(now, event.small("a governor"), event.bytes("the octets"));
             case "TIMER" -> logic.woken(now);
+            case "PING_RESULT", "INBOX" -> {
+                // The module asks no replica and tells its fellows nothing, so nothing comes back.
+            }
             case "SLICE_LOAD", "GIVEN", "STANDING_LINE" -> {
                 // Sites with slices hand out tables of their own; the module lays none there.
             }
@@ -198,7 +195,8 @@
 
         @Override
         public void bind(int table, int proxy, int classes) {
-            start("ATTACH_TABLE").append(classes).append(' ').append(table).append(' ').append(proxy).append('\n');
+            start("ATTACH_TABLE").append(classes).append(' ').append(table).append(' ').append(proxy)
+                    .append('\n');
         }
 
         @Override
