--- /dev/null
+++ b/src/test/java/rockshift/FakeHost.java
@@ -0,0 +1,137 @@
+package rockshift;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** A host that carries orders out on paper: what tables, levels and messages there would be. */
+final class FakeHost implements Orders {
+    static final long SECOND = 10_000;
+    private static final String[] USUAL = {"zones", "east,west", "classes", "1", "class.0.name", "cut",
+        "class.0.benefit", "1", "cold.share", "0.2", "warm.after", "100000", "message.head", "3",
+        "channel.pace", "5000", "channel.limit", "5000", "admission", "share", "fall.multiple", "3"};
+
+    final TreeMap<Integer, TreeMap<Long, Double>> tables = new TreeMap<>();
+    final Map<Integer, Double> levels = new HashMap<>();
+    final List<String> said = new ArrayList<>();
+    final List<String> logged = new ArrayList<>();
+    final Logic logic;
+    long now = 100 * SECOND;
+
+    /** Two halls and one class unless told otherwise; names and values come in pairs. */
+    FakeHost(String... terms) {
+        Map<String, String> all = new TreeMap<>();
+        for (String[] pairs : new String[][] {USUAL, terms}) {
+            for (int i = 0; i < pairs.length; i += 2) {
+                all.put(pairs[i], pairs[i + 1]);
+            }
+        }
+        logic = new Logic(now, 7, all);
+    }
+
+    static Listed ready(long replica, String zone, long started) {
+        return new Listed(replica, zone, "plain", Listed.Health.READY, started);
+    }
+
+    /** Warm replicas 1 to count, odd ones in the east, and a proxy in each hall. */
+    FakeHost fleet(int count) {
+        List<Listed> all = new ArrayList<>();
+        for (int i = 1; i <= count; i++) {
+            all.add(ready(i, i % 2 == 1 ? "east" : "west", 0));
+        }
+        logic.listed(now, all, false);
+        logic.joined(now, 0, "east", 10);
+        logic.joined(now, 1, "west", 10);
+        return turn();
+    }
+
+    FakeHost turn() {
+        said.clear();
+        while (logic.decide(this)) {
+            continue;
+        }
+        return this;
+    }
+
+    FakeHost pass(double seconds) {
+        for (long end = now + (long) (seconds * SECOND); now < end;) {
+            now += SECOND / 10;
+            logic.woken(now);
+            turn();
+        }
+        return this;
+    }
+
+    /** Reports of one second, then the second itself; what the proxies used goes by the tries. */
+    FakeHost second(Report... reports) {
+        int tries = 0;
+        for (Report report : reports) {
+            logic.heard(now, report.replica, report.tries, report.failed, SECOND, report.busy);
+            tries += report.tries;
+        }
+        logic.usage(now, 0, "cut", tries / 2, SECOND);
+        logic.usage(now, 1, "cut", tries / 2, SECOND);
+        return pass(1);
+    }
+
+    record Report(long replica, int tries, int failed, Double busy) { }
+
+    double share(int table, long replica) {
+        return tables.get(table).getOrDefault(replica, 0.0)
+                / tables.get(table).values().stream().mapToDouble(weight -> weight).sum();
+    }
+
+    @Override
+    public void line(int table, long replica, double weight) {
+        said.add("line " + table + " " + replica);
+        TreeMap<Long, Double> lines = tables.computeIfAbsent(table, number -> new TreeMap<>());
+        if (weight == 0) {
+            lines.remove(replica);
+        } else {
+            lines.put(replica, weight);
+        }
+    }
+
+    @Override
+    public void bind(int table, int proxy, int classes) {
+        said.add("bind " + table + " " + proxy + " " + classes);
+    }
+
+    @Override
+    public void admit(int table, int classes, double level, int again) {
+        said.add("admit " + table + " " + level + " " + again);
+        levels.put(table, level);
+    }
+
+    @Override
+    public void withdraw(long replica, boolean out) {
+        said.add("withdraw " + replica);
+    }
+
+    @Override
+    public void probe(long replica) {
+        said.add("probe " + replica);
+    }
+
+    @Override
+    public void tell(int governor, byte[] text) {
+        said.add("tell " + governor);
+    }
+
+    @Override
+    public void mark(int serial, boolean everyone) {
+        said.add("mark " + serial);
+    }
+
+    @Override
+    public void wake(long delay) {
+        said.add("wake " + delay);
+    }
+
+    @Override
+    public void log(String line) {
+        logged.add(line);
+    }
+}
--- /dev/null
+++ b/src/test/java/rockshift/LogicTest.java
@@ -0,0 +1,239 @@
+package rockshift;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+import static rockshift.FakeHost.SECOND;
+import static rockshift.FakeHost.ready;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import rockshift.FakeHost.Report;
+
+class LogicTest {
+    private static Report good(long replica, int tries, double busy) {
+        return new Report(replica, tries, 0, busy);
+    }
+
+    // ---- the solve ----
+
+    /** By hand: capacities 3 to 1, alpha 1: every link full. A line within a tenth of its aim stays as sent. */
+    @Test
+    void theTablesReachTheFairOptimum() {
+        FakeHost host = new FakeHost().fleet(2);
+        for (int i = 0; i < 30; i++) {
+            host.second(good(1, 60, 0.5), good(2, 20, 0.5));
+        }
+        double loadOfFirst = (host.share(0, 1) + host.share(1, 1)) / 2;
+        assertThat(loadOfFirst).isCloseTo(0.75, within(0.075));
+    }
+
+    /** Optimality with a cost for crossing: no replica is overfull, and no traffic crosses for nothing. */
+    @Test
+    void pathsThatCrossZonesCarryOnlyWhatTheOwnZoneCannot() {
+        FakeHost host = new FakeHost("price.crossing", "0.06").fleet(4);
+        for (int i = 0; i < 60; i++) {
+            host.second(good(1, 10, 0.5), good(2, 10, 0.5), good(3, 10, 0.5), good(4, 10, 0.5));
+        }
+        assertThat(host.share(0, 1) + host.share(0, 3)).isGreaterThan(0.9);
+        assertThat(host.share(1, 2) + host.share(1, 4)).isGreaterThan(0.9);
+        for (long replica = 1; replica <= 4; replica++) {
+            assertThat(host.share(0, replica) + host.share(1, replica)).isCloseTo(0.5, within(0.06));
+        }
+    }
+
+    /** A capacity falls to a third: at every batch the shares stay near what the links can carry. */
+    @Test
+    void publishedPointsStayFeasibleWhenACapacityFalls() {
+        FakeHost host = new FakeHost().fleet(3);
+        for (int i = 0; i < 20; i++) {
+            host.second(good(1, 20, 0.5), good(2, 20, 0.5), good(3, 20, 0.5));
+        }
+        for (int i = 0; i < 20; i++) {
+            host.second(good(1, 10, 0.75), good(2, 20, 0.5), good(3, 20, 0.5));
+            double first = (host.share(0, 1) + host.share(1, 1)) / 2;
+            assertThat(first).isLessThan(0.35);
+        }
+        assertThat((host.share(0, 1) + host.share(1, 1)) / 2).isCloseTo(1.0 / 7, within(0.05));
+    }
+
+    @Test
+    void theSwitchingCostHoldsLinesStillInCalm() {
+        FakeHost host = new FakeHost().fleet(4);
+        for (int i = 0; i < 20; i++) {
+            host.second(good(1, 20, 0.5), good(2, 20, 0.5), good(3, 20, 0.5), good(4, 20, 0.5));
+        }
+        for (int i = 0; i < 20; i++) {
+            double wobble = i % 2 == 0 ? 0.48 : 0.52;
+            host.second(good(1, 20, wobble), good(2, 20, 0.5), good(3, 20, 1 - wobble), good(4, 20, 0.5));
+            assertThat(host.said).noneMatch(order -> order.startsWith("line"));
+        }
+    }
+
+    /** Regina-south, big-2: a capacity of zero once left the copies as they were. */
+    @Test
+    void aShunnedReplicaKeepsOnlyTheFloor() {
+        FakeHost host = new FakeHost().fleet(5);
+        host.second(good(1, 20, 0.5), good(2, 20, 0.5), good(3, 20, 0.5), good(4, 20, 0.5),
+                new Report(5, 20, 14, 0.2)).pass(1);
+        assertThat(host.logged).anyMatch(line -> line.startsWith("replica 5 shunned"));
+        assertThat(host.share(0, 5)).isPositive().isLessThan(0.01);
+        host.pass(12);
+        assertThat(host.logged).contains("replica 5 tried again");
+        assertThat(host.share(0, 5)).isGreaterThan(0.1);
+    }
+
+    // ---- health ----
+
+    @Test
+    void aTroubleCommonToAllShunsNobody() {
+        FakeHost host = new FakeHost().fleet(4);
+        for (int i = 0; i < 5; i++) {
+            host.second(new Report(1, 20, 12, 0.4), new Report(2, 20, 10, 0.4), new Report(3, 20, 14, 0.4),
+                    new Report(4, 20, 9, 0.4));
+        }
+        assertThat(host.logged).noneMatch(line -> line.contains("shunned"));
+    }
+
+    /** Incident i133fcd: replicas with too much work were shunned one after the other. */
+    @Test
+    void aReplicaWhoseLoadExplainsItsFailuresIsNotShunned() {
+        FakeHost host = new FakeHost().fleet(4);
+        host.second(good(1, 20, 0.5), good(2, 20, 0.5), good(3, 20, 0.5), new Report(4, 20, 14, 1.0)).pass(2);
+        assertThat(host.logged).noneMatch(line -> line.contains("shunned"));
+        host.second(good(1, 20, 0.5), good(2, 20, 0.5), good(3, 20, 0.5), new Report(4, 40, 40, null)).pass(2);
+        assertThat(host.logged).as("a hung one tells no load").anyMatch(line -> line.contains("4 shunned"));
+    }
+
+    // ---- the list ----
+
+    @Test
+    void drainsGoOutInTheTurnThatTellsOfThem() {
+        FakeHost host = new FakeHost().fleet(3).pass(1.5);
+        host.logic.listed(host.now, List.of(new Listed(2, "west", "plain", Listed.Health.DRAINING, 0)), true);
+        host.turn();
+        assertThat(host.said).contains("line 0 2", "line 1 2");
+        assertThat(host.tables.get(0)).doesNotContainKey(2L);
+    }
+
+    @Test
+    void aRestartedReplicaIsColdAtOnceAndWarmsEvenly() {
+        FakeHost host = new FakeHost().fleet(4).pass(2);
+        host.logic.listed(host.now, List.of(ready(2, "west", host.now)), true);
+        host.turn();
+        assertThat(host.share(0, 2)).isLessThan(0.08);
+        host.pass(5);
+        assertThat(host.share(0, 2)).isBetween(0.12, 0.2);
+        host.pass(7);
+        assertThat(host.share(0, 2)).isGreaterThan(0.22);
+    }
+
+    /** Rule days at saskatoon-main: four times what the fleet can do, and a cold replica had its part of it. */
+    @Test
+    void aColdReplicaGetsLessWhileAllTryTooMuch() {
+        FakeHost host = new FakeHost("admission", "none").fleet(4);
+        for (int i = 0; i < 20; i++) {
+            host.second(new Report(1, 80, 60, 1.0), new Report(2, 80, 60, 1.0), new Report(3, 80, 60, 1.0),
+                    new Report(4, 80, 60, 1.0));
+        }
+        host.logic.listed(host.now, List.of(ready(2, "west", host.now)), true);
+        host.turn();
+        double sent = 320 * (host.share(0, 2) + host.share(1, 2)) / 2;
+        assertThat(sent).isLessThan(3 * 0.2 * 20);
+    }
+
+    @Test
+    void noProxyIsPutOnATableWithoutALine() {
+        FakeHost host = new FakeHost();
+        host.logic.listed(host.now, List.of(), false);
+        host.logic.joined(host.now, 0, "east", 5);
+        host.turn();
+        assertThat(host.said).noneMatch(order -> order.startsWith("bind"));
+        host.logic.listed(host.now, List.of(ready(1, "west", 0)), true);
+        host.pass(1.1);
+        assertThat(host.tables.get(0)).containsOnlyKeys(1L);
+        host.logic.joined(host.now, 2, "west", 5);
+        assertThat(host.turn().said).contains("bind 1 2 1");
+    }
+
+    // ---- the channel ----
+
+    @Test
+    void aFullChannelHoldsDifferencesBackButNotDrains() {
+        FakeHost host = new FakeHost("channel.limit", "18", "channel.pace", "10").fleet(3);
+        host.logic.listed(host.now, List.of(ready(9, "west", 0)), true);
+        host.pass(1);
+        assertThat(host.tables.get(0)).as("over half full").doesNotContainKey(9L);
+        host.logic.listed(host.now, List.of(new Listed(2, "west", "plain", Listed.Health.GONE, 0)), true);
+        host.turn();
+        assertThat(host.said).contains("line 0 2");
+    }
+
+    @Test
+    void ordinaryBatchesLeaveMessagesForDrains() {
+        FakeHost host = new FakeHost("messages.limit", "10", "messages.span", "100000").fleet(3);
+        for (int i = 0; i < 9; i++) {
+            host.logic.listed(host.now, List.of(ready(20 + i, "west", 0)), true);
+            host.pass(1);
+        }
+        assertThat(host.tables.get(0)).as("six of ten messages").doesNotContainKey(28L);
+        host.logic.listed(host.now, List.of(new Listed(2, "west", "plain", Listed.Health.GONE, 0)), true);
+        host.turn();
+        assertThat(host.said).contains("line 0 2");
+    }
+
+    // ---- levels ----
+
+    private static FakeHost overworked(FakeHost host) {
+        for (int i = 0; i < 15; i++) {
+            host.second(new Report(1, 60, 20, 1.0), new Report(2, 60, 20, 1.0));
+        }
+        return host;
+    }
+
+    /** Winnipeg-west, hunt for rules: let in all at once, the wave pushed a cold replica over. */
+    @Test
+    void levelsFallWithTheCapacityAndRiseByATenth() {
+        FakeHost host = overworked(new FakeHost().fleet(2));
+        double low = host.levels.get(0);
+        assertThat(low).isBetween(0.4, 0.8);
+        host.second(good(1, 5, 0.1), good(2, 5, 0.1));
+        host.second(good(1, 5, 0.1), good(2, 5, 0.1));
+        assertThat(host.levels.get(0)).isLessThanOrEqualTo(low + 0.21);
+        for (int i = 0; i < 20; i++) {
+            host.second(good(1, 5, 0.1), good(2, 5, 0.1));
+        }
+        assertThat(host.levels.get(0)).isEqualTo(1);
+    }
+
+    @Test
+    void theLesserBenefitIsRefusedFirst() {
+        FakeHost host = new FakeHost("classes", "2", "class.1.name", "pay", "class.1.benefit", "4").fleet(2);
+        for (int i = 0; i < 10; i++) {
+            host.logic.usage(host.now, 0, "pay", 60, SECOND);
+            overworkedOnce(host);
+        }
+        assertThat(host.levels.get(0)).isLessThan(0.7);
+        assertThat(host.levels.get(1)).isEqualTo(1);
+    }
+
+    private static void overworkedOnce(FakeHost host) {
+        host.second(new Report(1, 90, 20, 1.0), new Report(2, 90, 20, 1.0));
+    }
+
+    @Test
+    void nothingIsRefusedWhereTheFleetIsNotBusy() {
+        FakeHost host = new FakeHost().fleet(2);
+        for (int i = 0; i < 10; i++) {
+            host.second(new Report(1, 60, 20, 0.5), new Report(2, 60, 20, 0.5));
+        }
+        assertThat(host.levels.get(0)).isEqualTo(1);
+    }
+
+    @Test
+    void theSameEventsGiveTheSameOrders() {
+        FakeHost one = overworked(new FakeHost().fleet(2));
+        FakeHost other = overworked(new FakeHost().fleet(2));
+        assertThat(one.tables).isEqualTo(other.tables);
+        assertThat(one.logged).isEqualTo(other.logged);
+    }
+}
