--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -70,15 +70,17 @@
     /** Median share of failures up to which the fleet counts as calm, and its capacity as known. */
     private static final double CALM = 0.05;
     /** Part of the way that the calm rate moves a batch, and the part of it that a jam leaves. */
-    private static final double STEADY_STEP = 0.1;
+    private static final double STEADY_STEP = 0.3;
     private static final double JAM_PART = 0.75;
     /** Level gained a batch at most: let in all at once, those who waited would jam the fleet again. */
-    private static final double RISE = 0.1;
+    private static final double RISE = 0.2;
     /** Level: changes below it are not sent; and the least level of any class. */
     private static final double LEVEL_STEP = 0.02;
     private static final double LEAST_LEVEL = 0.05;
     /** Times a refused client may come again, at most: bounds the search for the true demand. */
     private static final double MOST_REPEATS = 3;
+    /** Refused share from which the repeats found are trusted; below it they are mostly lag of reports. */
+    private static final double TRUSTED = 0.3;
     /** Share of what pushes a cold replica over that it may be sent, by the tries now made. */
     private static final double COLD_PART = 0.4;
     /** Tenths of a ms: a shunned replica's first rest; it doubles up to the longest. */
@@ -535,7 +537,8 @@
             return;
         }
         double[] first = new double[classes];
-        double repeats = repeats();
+        double refused = 1 - Arrays.stream(levelTime).sum() / classes / flowTime;
+        double repeats = repeats() * Math.min(1, refused / TRUSTED);
         double demand = 0;
         double benefits = 0;
         for (int k = 0; k < classes; k++) {
