Let a jam run dry before letting in again; busy from 0.6, let in 0.8

The pause also meets any other cause of full waiting rooms; wrong, it costs one time limit of service.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -64,14 +64,17 @@
     /** Tenths of a ms: memory of what came, was tried and was let in; two to four report periods. */
     private static final double FLOW_MEMORY = 40_000;
     /** Share of the fleet's capacity that may be let in: above it queues outgrow the promised time. */
-    private static final double FULL = 0.85;
+    private static final double FULL = 0.8;
     /** Mean load of the fleet below which nothing is refused: a low estimate alone is no evidence. */
-    private static final double BUSY = 0.8;
+    private static final double BUSY = 0.6;
     /** Median share of failures up to which the fleet counts as calm, and its capacity as known. */
     private static final double CALM = 0.05;
     /** Part of the way that the calm rate moves a batch, and the part of it that a jam leaves. */
     private static final double STEADY_STEP = 0.3;
     private static final double JAM_PART = 0.75;
+    /** Median share of failures that means a jam; and tenths of a ms until reports tell how a pause ended. */
+    private static final double JAMMED = 0.6;
+    private static final long AFTER_PAUSE = 50_000;
     /** Level gained a batch at most: let in all at once, those who waited would jam the fleet again. */
     private static final double RISE = 0.2;
     /** Level: changes below it are not sent; and the least level of any class. */
@@ -136,6 +139,7 @@
     private double steadyRate;
     private double fleetLoad;
     private double medianFailures;
+    private long pausedUntil;
 
     /** Work that falls due: the next batch, or the return of a shunned replica. */
     private record Due(long at, boolean batch, long replica) { }
@@ -551,6 +555,12 @@
         steadyRate = medianFailures < CALM || steadyRate == 0
                 ? steadyRate + (fleetRate - steadyRate) * (steadyRate == 0 ? 1 : STEADY_STEP) : steadyRate;
         double room = FULL * Math.max(fleetRate, JAM_PART * steadyRate);
+        // In a full jam servers work on what nobody waits for any more, whatever is still let in. Letting in
+        // next to nothing until the oldest has timed out frees them at once; costs that time if it is wrong.
+        if (medianFailures > JAMMED && fleetLoad > OVERWORKED && now > pausedUntil + AFTER_PAUSE) {
+            pausedUntil = now + (long) number("class.0.time.limit", 0);
+            notes.add(String.format(Locale.ROOT, "jam, median of failures %.2f, pausing", medianFailures));
+        }
         double ofWorst = number("goal.worst.class", 0);
         int lesser = -1;
         double least = 1 / demand;
@@ -564,7 +574,7 @@
         double high = Math.max(LEAST_LEVEL, Math.min(1, (room - low * mine) / (demand - mine)));
         for (int k = 0; k < classes; k++) {
             double to = fleetLoad < BUSY ? 1 : lesser < 0 || k == lesser ? low : high;
-            level[k] = Math.min(to, level[k] + RISE);
+            level[k] = now < pausedUntil ? LEAST_LEVEL : Math.min(to, level[k] + RISE);
         }
     }
 
