--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
 /**
  * All decisions of one governor. The host calls an input method for each thing it learns, then
@@ -61,7 +62,7 @@
     private static final double EXCESS_FAILURES = 0.2;
     /** Load above which failures are put down to too much work. */
     private static final double OVERWORKED = 0.8;
-    /** Tenths of a ms: memory of what came, was tried and was let in; two to four report periods. */
+    /** Tenths of a ms: memory of what came and was tried; two to four report periods. */
     private static final double FLOW_MEMORY = 40_000;
     /** Share of the fleet's capacity that may be let in: above it queues outgrow the promised time. */
     private static final double FULL = 0.8;
@@ -80,10 +81,6 @@
     /** Level: changes below it are not sent; and the least level of any class. */
     private static final double LEVEL_STEP = 0.02;
     private static final double LEAST_LEVEL = 0.05;
-    /** Times a refused client may come again, at most: bounds the search for the true demand. */
-    private static final double MOST_REPEATS = 3;
-    /** Refused share from which the repeats found are trusted; below it they are mostly lag of reports. */
-    private static final double TRUSTED = 0.3;
     /** Share of what pushes a cold replica over that it may be sent, by the tries now made. */
     private static final double COLD_PART = 0.4;
     /** Tenths of a ms: a shunned replica's first rest; it doubles up to the longest. */
@@ -113,7 +110,8 @@
     private final TreeMap<Long, Replica> replicas = new TreeMap<>();
     private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
     private final TreeSet<Due> dues = new TreeSet<>(
-            Comparator.comparingLong(Due::at).thenComparing(Due::batch).thenComparing(Due::replica));
+            Comparator.comparingLong(Due::at).thenComparing(Due::batch).thenComparing(Due::replica)
+                    .thenComparing(Due::far));
     private final ArrayDeque<String> notes = new ArrayDeque<>();
     private long now;
     private boolean timerSet;
@@ -130,7 +128,6 @@
     // By class, faded: what came, and the level over time; then the tries, and the time that all this covers.
     private final double[] came;
     private final double[] level;
-    private final double[] levelTime;
     private double tried;
     private double flowTime;
     private double heardTime;
@@ -141,8 +138,33 @@
     private double medianFailures;
     private long pausedUntil;
 
-    /** Work that falls due: the next batch, or the return of a shunned replica. */
-    private record Due(long at, boolean batch, long replica) { }
+    /** Work that falls due: the next batch, or the end of a shunned replica's rest in one view. */
+    private record Due(long at, boolean batch, long replica, boolean far) { }
+
+    /** What proxies of its own zone, or those of others, lately saw of a replica. */
+    private static final class View {
+        double tries;
+        double lost;
+        double busy;
+        boolean shunned;
+        long rest = REST;
+        long returned = Long.MIN_VALUE / 2;
+
+        double failureShare() {
+            return lost / tries;
+        }
+
+        void forget() {
+            tries = lost = busy = 0;
+            shunned = false;
+        }
+
+        void fade(double kept) {
+            tries *= kept;
+            lost *= kept;
+            busy *= kept;
+        }
+    }
 
     /** A path of every request, and the one link that they share there. */
     private final class Replica {
@@ -155,12 +177,8 @@
         double answered;
         double busySum;
         double busyTries;
-        double tries;
-        double lost;
-        double recentBusy;
-        boolean shunned;
-        long rest = REST;
-        long returned = Long.MIN_VALUE / 2;
+        final View near = new View();
+        final View far = new View();
         // The solve: the link's capacity; the request's copy, the link's copy and their mean; the dual.
         double capacity;
         final double[] x = new double[requests];
@@ -168,6 +186,7 @@
         final double[] mean = new double[requests];
         final double[] dual = new double[requests];
         final double[] published = new double[requests];
+        final boolean[] placed = new boolean[requests];
 
         Replica(long id) {
             this.id = id;
@@ -177,6 +196,23 @@
             return health == Listed.Health.READY;
         }
 
+        View view(String from) {
+            return from.equals(zone) ? near : far;
+        }
+
+        View seen() {
+            View all = new View();
+            all.tries = near.tries + far.tries;
+            all.lost = near.lost + far.lost;
+            all.busy = near.busy + far.busy;
+            return all;
+        }
+
+        /** Whether a request may use this path: shunned near means for all, shunned far for the others. */
+        boolean open(int r) {
+            return usable() && !near.shunned && !view(zones.get(r / classes)).shunned;
+        }
+
         boolean inTables() {
             return Arrays.stream(published).anyMatch(line -> line > 0);
         }
@@ -194,22 +230,12 @@
             return busyTries > 0 ? Math.max(LEAST_LOAD, busySum / busyTries) : 1;
         }
 
-        double failureShare() {
-            return lost / tries;
-        }
-
-        void forget() {
-            answered = busySum = busyTries = tries = lost = recentBusy = 0;
-            shunned = false;
-        }
-
         void fade(double capacityKept, double healthKept) {
             answered *= capacityKept;
             busySum *= capacityKept;
             busyTries *= capacityKept;
-            tries *= healthKept;
-            lost *= healthKept;
-            recentBusy *= healthKept;
+            near.fade(healthKept);
+            far.fade(healthKept);
         }
 
         /**
@@ -218,11 +244,12 @@
          * the optimum of the undisturbed problem, so that it need not be sought.
          */
         void carry(double oldCapacity) {
-            boolean known = oldCapacity > 0 && capacity > 0;
             for (int r = 0; r < requests; r++) {
+                boolean known = placed[r] && oldCapacity > 0 && capacity > 0;
+                placed[r] = open(r);
                 double scale = known ? capacity / oldCapacity * weight[r] / oldWeight[r] : 0;
-                x[r] = known ? x[r] * scale : weight[r] * capacity;
-                z[r] = known ? z[r] * scale : weight[r] * capacity;
+                x[r] = !placed[r] ? 0 : known ? x[r] * scale : weight[r] * capacity;
+                z[r] = !placed[r] ? 0 : known ? z[r] * scale : weight[r] * capacity;
                 dual[r] = known ? dual[r] : Math.pow(weight[r], 1 - ALPHA);
             }
         }
@@ -256,11 +283,10 @@
         sentLevel = new double[requests];
         came = new double[classes];
         level = new double[classes];
-        levelTime = new double[classes];
         Arrays.fill(level, 1);
         fadedAt = now;
         queuedAt = now;
-        dues.add(new Due(now, true, 0));
+        dues.add(new Due(now, true, 0, false));
     }
 
     private double number(String name, double otherwise) {
@@ -288,8 +314,9 @@
             }
             if (restarted) {
                 replica.started = entry.started();
-                replica.rest = REST;
-                replica.forget();
+                replica.answered = replica.busySum = replica.busyTries = 0;
+                replica.near.forget();
+                replica.far.forget();
             }
             replica.zone = entry.zone();
             replica.kind = entry.kind();
@@ -314,8 +341,8 @@
         proxies.remove(number);
     }
 
-    /** What proxies met at a replica over a span, and its load if an answer told it. */
-    public void heard(long now, long id, int count, int failed, long span, Double busy) {
+    /** What the proxies of a zone met at a replica over a span, and its load if an answer told it. */
+    public void heard(long now, String zone, long id, int count, int failed, long span, Double busy) {
         this.now = now;
         Replica replica = replicas.get(id);
         if (replica == null) {
@@ -323,9 +350,10 @@
         }
         tried += count;
         heardTime = heardTime == 0 ? span : heardTime;
-        replica.tries += count;
-        replica.lost += failed;
-        replica.recentBusy += busy == null ? 0 : count * busy;
+        View view = replica.view(zone);
+        view.tries += count;
+        view.lost += failed;
+        view.busy += busy == null ? 0 : count * busy;
         if (replica.warmth() >= 1) {
             replica.answered += Math.max(0, count - failed);
             replica.busySum += busy == null ? 0 : count * busy;
@@ -374,17 +402,19 @@
             batch(orders);
         } else if (due.at <= now) {
             dues.pollFirst();
-            giveBack(replicas.get(due.replica));
+            giveBack(replicas.get(due.replica), due.far);
         } else {
             return proxies.entrySet().stream().anyMatch(e -> join(orders, e.getKey(), e.getValue()));
         }
         return true;
     }
 
-    private void giveBack(Replica replica) {
-        if (replica != null && replica.shunned) {
-            replica.forget();
-            replica.returned = now;
+    private void giveBack(Replica replica, boolean far) {
+        View view = replica == null ? null : far ? replica.far : replica.near;
+        if (view != null && view.shunned) {
+            view.returned = now;
+            replica.near.forget();
+            replica.far.forget();
             notes.add("replica " + replica.id + " tried again");
         }
     }
@@ -428,7 +458,7 @@
         }
         publish(orders, pressing);
         dues.removeIf(Due::batch);
-        dues.add(new Due(now + (held ? TURN : GATHER), true, 0));
+        dues.add(new Due(now + (held ? TURN : GATHER), true, 0, false));
     }
 
     /** Old evidence fades, by the time passed and not by the number of reports. */
@@ -444,34 +474,45 @@
             tried *= flowKept;
             for (int k = 0; k < classes; k++) {
                 came[k] *= flowKept;
-                levelTime[k] = levelTime[k] * flowKept + level[k] * FLOW_MEMORY * (1 - flowKept);
             }
         }
     }
 
     /** A replica is judged by its share of failures against the fleet's median. */
     private void judge() {
-        List<Replica> known = replicas.values().stream()
-                .filter(replica -> replica.usable() && replica.tries >= FEW_TRIES).toList();
-        double[] shares = known.stream().mapToDouble(Replica::failureShare).sorted().toArray();
-        medianFailures = known.isEmpty() ? 0 : shares[(shares.length - 1) / 2];
-        for (Replica replica : known) {
-            // Too much work makes a replica fail as well, and shunning it would push the next one over: a
-            // busy one is left to the capacity estimate. A hung one tells no load, and counts as idle.
-            boolean overworked = replica.recentBusy > OVERWORKED * replica.tries;
-            boolean failing = replica.failureShare() > 2 * medianFailures + EXCESS_FAILURES;
-            if (!replica.shunned && failing && !overworked) {
-                replica.shunned = true;
-                dues.add(new Due(now + replica.rest + chance.nextLong(GATHER), false, replica.id));
-                replica.rest = Math.min(LONGEST_REST, 2 * replica.rest);
-                notes.add(String.format(Locale.ROOT, "replica %d shunned, failures %.2f, median %.2f",
-                        replica.id, replica.failureShare(), medianFailures));
-            } else if (!replica.shunned && now - replica.returned > RETURN) {
-                replica.rest = REST;
+        double[] shares = replicas.values().stream().filter(Replica::usable).map(Replica::seen)
+                .filter(view -> view.tries >= FEW_TRIES).mapToDouble(View::failureShare).sorted().toArray();
+        medianFailures = shares.length == 0 ? 0 : shares[(shares.length - 1) / 2];
+        for (Replica replica : replicas.values()) {
+            // A cut between zones looks like death from one side only: while its own zone does well with a
+            // replica, the others alone shun it. Could keep a dying one for those near it a little longer.
+            boolean wellNear = replica.near.tries >= FEW_TRIES && !failing(replica.near);
+            if (replica.usable() && failing(wellNear ? replica.far : replica.seen())) {
+                shun(replica, wellNear ? replica.far : replica.near);
             }
         }
     }
 
+    /**
+     * Too much work makes a replica fail as well, and shunning it would push the next one over: a busy one
+     * is left to the capacity estimate. A hung one tells no load, and counts as idle.
+     */
+    private boolean failing(View view) {
+        return view.tries >= FEW_TRIES && view.busy <= OVERWORKED * view.tries
+                && view.failureShare() > 2 * medianFailures + EXCESS_FAILURES;
+    }
+
+    private void shun(Replica replica, View view) {
+        if (!view.shunned) {
+            boolean far = view == replica.far;
+            view.shunned = true;
+            view.rest = now - view.returned > RETURN + GATHER ? REST : Math.min(LONGEST_REST, 2 * view.rest);
+            dues.add(new Due(now + view.rest + chance.nextLong(GATHER), false, replica.id, far));
+            notes.add(String.format(Locale.ROOT, "replica %d shunned%s, failures %.2f, median %.2f",
+                    replica.id, far ? " by far" : "", replica.seen().failureShare(), medianFailures));
+        }
+    }
+
     /** Request weights: shares of demand, by zone and class. */
     private void weighDemand() {
         System.arraycopy(weight, 0, oldWeight, 0, requests);
@@ -511,8 +552,8 @@
             double[] peers = kinds.getOrDefault(replica.kind, fleet);
             double mean = peers[1] > 0 ? peers[0] / peers[1] : 1;
             double own = replica.answered / replica.busy();
-            double back = TRIAL + (1 - TRIAL) * (now - replica.returned) / RETURN;
-            double part = replica.shunned || !replica.usable() ? 0 : Math.min(1, back) * replica.warmth();
+            double back = Math.min(1, TRIAL + (1 - TRIAL) * (now - replica.near.returned) / RETURN);
+            double part = replica.near.shunned || !replica.usable() ? 0 : back * replica.warmth();
             replica.capacity = part * (replica.answered * own + PRIOR * mean) / (replica.answered + PRIOR);
             sum += replica.capacity;
             busy += replica.capacity * replica.busy();
@@ -540,15 +581,13 @@
         if (!terms.getOrDefault("admission", "").equals("share") || flowTime == 0) {
             return;
         }
-        double[] first = new double[classes];
-        double refused = 1 - Arrays.stream(levelTime).sum() / classes / flowTime;
-        double repeats = repeats() * Math.min(1, refused / TRUSTED);
+        double[] each = new double[classes];
         double demand = 0;
         double benefits = 0;
         for (int k = 0; k < classes; k++) {
-            first[k] = came[k] / flowTime / (1 + repeats * (1 - levelTime[k] / flowTime));
-            demand += first[k];
-            benefits += first[k] * benefit(k);
+            each[k] = came[k] / flowTime;
+            demand += each[k];
+            benefits += each[k] * benefit(k);
         }
         // In a jam answers fall though the capacity is there, and refusing by them would refuse nearly all:
         // the rate of calmer times holds the room up. Too high where much capacity is really lost.
@@ -558,18 +597,20 @@
         // In a full jam servers work on what nobody waits for any more, whatever is still let in. Letting in
         // next to nothing until the oldest has timed out frees them at once; costs that time if it is wrong.
         if (medianFailures > JAMMED && fleetLoad > OVERWORKED && now > pausedUntil + AFTER_PAUSE) {
-            pausedUntil = now + (long) number("class.0.time.limit", 0);
+            for (int k = 0; k < classes; k++) {
+                pausedUntil = Math.max(pausedUntil, now + (long) number("class." + k + ".time.limit", 0));
+            }
             notes.add(String.format(Locale.ROOT, "jam, median of failures %.2f, pausing", medianFailures));
         }
         double ofWorst = number("goal.worst.class", 0);
         int lesser = -1;
         double least = 1 / demand;
         for (int k = 0; k < classes; k++) {
-            double loss = (1 - ofWorst) * benefit(k) / benefits + ofWorst / first[k];
+            double loss = (1 - ofWorst) * benefit(k) / benefits + ofWorst / each[k];
             lesser = loss < least ? k : lesser;
             least = Math.min(loss, least);
         }
-        double mine = lesser < 0 ? demand : first[lesser];
+        double mine = lesser < 0 ? demand : each[lesser];
         double low = Math.max(LEAST_LEVEL, Math.min(1, (room - demand + mine) / mine));
         double high = Math.max(LEAST_LEVEL, Math.min(1, (room - low * mine) / (demand - mine)));
         for (int k = 0; k < classes; k++) {
@@ -578,26 +619,6 @@
         }
     }
 
-    /** How often a refused client comes again: what makes the tries seen fit what came and the levels. */
-    private double repeats() {
-        double low = 0;
-        double high = MOST_REPEATS;
-        for (int i = 0; i < BISECTIONS; i++) {
-            double guess = (low + high) / 2;
-            double admitted = 0;
-            for (int k = 0; k < classes; k++) {
-                double share = levelTime[k] / flowTime;
-                admitted += came[k] * share / (1 + guess * (1 - share));
-            }
-            if (admitted > tried) {
-                low = guess;
-            } else {
-                high = guess;
-            }
-        }
-        return low;
-    }
-
     /** One iteration of FD-ADMM. Each path has one link, so its two duals are opposite: one is kept. */
     private void iterate() {
         double penalty = penalty();
@@ -616,7 +637,7 @@
                 double marginal = weight[r] / Math.pow(y, ALPHA);
                 double sum = 0;
                 for (Replica path : replicas.values()) {
-                    sum += path.usable() ? copy(path, r, penalty, marginal) : 0;
+                    sum += path.open(r) ? copy(path, r, penalty, marginal) : 0;
                 }
                 if (sum > y) {
                     low = y;
@@ -627,7 +648,7 @@
             double marginal = weight[r] / Math.pow((low + high) / 2, ALPHA);
             total[r] = 0;
             for (Replica path : replicas.values()) {
-                path.x[r] = path.usable() ? copy(path, r, penalty, marginal) : 0;
+                path.x[r] = path.open(r) ? copy(path, r, penalty, marginal) : 0;
                 total[r] += path.z[r];
             }
         }
@@ -646,7 +667,7 @@
         double[] point = new double[requests];
         double sum = 0;
         for (int r = 0; r < requests; r++) {
-            point[r] = link.mean[r] + penalty * link.dual[r];
+            point[r] = link.open(r) ? link.mean[r] + penalty * link.dual[r] : 0;
             sum += Math.max(0, point[r]);
         }
         double cut = 0;
--- a/src/main/java/rockshift/drill/Drill.java
+++ b/src/main/java/rockshift/drill/Drill.java
@@ -142,12 +142,12 @@
             case "LEFT" -> logic.left(now, event.small("a proxy"));
             case "HEARD" -> {
                 event.tenths("a mean time");
-                event.text("a zone");
+                String zone = event.text("a zone");
                 long replica = event.whole("a replica");
                 int lost = event.small("lost tries");
                 int tries = event.small("tries");
                 long span = event.tenths("a span");
-                logic.heard(now, replica, tries, lost, span, event.load("a load report").get("util"));
+                logic.heard(now, zone, replica, tries, lost, span, event.load("a load report").get("util"));
             }
             case "PROXY_STATS" -> {
                 event.whole("lost transactions");
--- a/src/test/java/rockshift/FakeHost.java
+++ b/src/test/java/rockshift/FakeHost.java
@@ -68,7 +68,7 @@
     FakeHost second(Report... reports) {
         int tries = 0;
         for (Report report : reports) {
-            logic.heard(now, report.replica, report.tries, report.failed, SECOND, report.busy);
+            logic.heard(now, report.replica % 2 == 1 ? "east" : "west", report.replica, report.tries, report.failed, SECOND, report.busy);
             tries += report.tries;
         }
         logic.usage(now, 0, "cut", tries / 2, SECOND);
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -104,6 +104,19 @@
         assertThat(host.logged).as("a hung one tells no load").anyMatch(line -> line.contains("4 shunned"));
     }
 
+    /** Hunt at winnipeg-west, a cut hall: proxies back from the cut found their own hall shunned. */
+    @Test
+    void aCutBetweenZonesShunsReplicasForTheFarSideOnly() {
+        FakeHost host = new FakeHost().fleet(6);
+        host.second(good(1, 20, 0.5), good(3, 20, 0.5), good(5, 20, 0.5), good(2, 20, 0.5), good(4, 20, 0.5),
+                good(6, 20, 0.5));
+        host.logic.heard(host.now, "east", 2, 20, 20, SECOND, null);
+        host.pass(1);
+        assertThat(host.logged).anyMatch(line -> line.startsWith("replica 2 shunned by far"));
+        assertThat(host.share(0, 2)).isLessThan(0.01);
+        assertThat(host.share(1, 2)).isGreaterThan(0.1);
+    }
+
     // ---- the list ----
 
     @Test
