--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -83,6 +83,8 @@
     private static final double LEAST_LEVEL = 0.05;
     /** Share of what pushes a cold replica over that it may be sent, by the tries now made. */
     private static final double COLD_PART = 0.4;
+    /** Times its part of the fleet's capacity that a cold replica may be of any one table. */
+    private static final double COLD_SPREAD = 1.5;
     /** Tenths of a ms: a shunned replica's first rest; it doubles up to the longest. */
     private static final long REST = 60_000;
     private static final long LONGEST_REST = 150_000;
@@ -767,6 +769,9 @@
             for (Replica path : replicas.values()) {
                 double old = path.published[r];
                 double rate = sum > 0 ? Math.max(FLOOR / lines, path.z[r] / sum) : old > 0 ? old : 1 / lines;
+                // Guards a cold replica when one zone asks for far more than it reported, as when its proxies
+                // have just come back: no table leans on it much more than the fleet does.
+                rate = path.warmth() < 1 ? Math.min(rate, COLD_SPREAD * path.capacity + FLOOR / lines) : rate;
                 double to = path.usable() ? Math.round(rate * 1e5) / 1e5 : 0;
                 double size = Math.abs(to - old);
                 if (to == 0 ? old > 0 : size > SKIP * old) {
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -154,6 +154,23 @@
         assertThat(sent).isLessThan(3 * 0.2 * 20);
     }
 
+    /** Incident i6012f0: a hall came back whole, and its proxies asked for more than they had reported. */
+    @Test
+    void noTableLeansOnAColdReplicaMoreThanTheFleetDoes() {
+        FakeHost host = new FakeHost("price.crossing", "0.06").fleet(8);
+        for (int i = 0; i < 30; i++) {
+            for (long replica = 1; replica <= 8; replica++) {
+                host.logic.heard(host.now, "east", replica, 10, 0, SECOND, 0.5);
+            }
+            host.logic.usage(host.now, 1, "cut", 78, SECOND);
+            host.logic.usage(host.now, 0, "cut", 2, SECOND);
+            host.pass(1);
+        }
+        host.logic.listed(host.now, List.of(ready(1, "east", host.now)), true);
+        host.pass(2);
+        assertThat(host.share(0, 1)).isLessThan(0.08);
+    }
+
     @Test
     void noProxyIsPutOnATableWithoutALine() {
         FakeHost host = new FakeHost();
