--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -32,7 +32,7 @@
     /** Share of the message limit left to ordinary batches; drains and joins need the rest. */
     private static final double MESSAGE_PART = 0.6;
     /** Tenths of a ms: memory of the capacity estimates (the design starts at 10 s). */
-    private static final double CAPACITY_MEMORY = 60_000;
+    private static final double CAPACITY_MEMORY = 80_000;
     /** Answers: a replica heard of less leans on the mean of its kind. */
     private static final double PRIOR = 10;
     /** Share: a load report below it is mostly noise, and a rate over it would be as well. */
