--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -106,6 +106,7 @@
     private final RandomGenerator chance;
     private final List<String> zones;
     private final int classes;
+    private final boolean[] homebound;
     /** A request is a class of a zone: zone number times classes, plus class; its table has that number. */
     private final int requests;
     private final double crossing;
@@ -198,6 +199,11 @@
             return health == Listed.Health.READY;
         }
 
+        /** Whether a request may use this path at all; some classes must stay in their zone. */
+        boolean allowed(int r) {
+            return usable() && (!homebound[r % classes] || zone.equals(zones.get(r / classes)));
+        }
+
         View view(String from) {
             return from.equals(zone) ? near : far;
         }
@@ -212,7 +218,7 @@
 
         /** Whether a request may use this path: shunned near means for all, shunned far for the others. */
         boolean open(int r) {
-            return usable() && !near.shunned && !view(zones.get(r / classes)).shunned;
+            return allowed(r) && !near.shunned && !view(zones.get(r / classes)).shunned;
         }
 
         boolean inTables() {
@@ -276,7 +282,12 @@
         this.terms = terms;
         chance = new SplittableRandom(seed);
         zones = Arrays.asList(terms.getOrDefault("zones", "").split(","));
-        classes = (int) number("classes", 0);
+        // Sites with slices hand out tables of their own: none is laid there.
+        classes = number("slices", 0) > 0 ? 0 : (int) number("classes", 0);
+        homebound = new boolean[classes];
+        for (int k = 0; k < classes; k++) {
+            homebound[k] = Boolean.parseBoolean(terms.get("class." + k + ".own.zone"));
+        }
         crossing = NEAR * number("price.crossing", 0);
         requests = zones.size() * classes;
         weight = new double[requests];
@@ -772,7 +783,7 @@
             }
             double sum = 0;
             for (Replica path : replicas.values()) {
-                sum += path.usable() ? path.z[r] : 0;
+                sum += path.allowed(r) ? path.z[r] : 0;
             }
             for (Replica path : replicas.values()) {
                 double old = path.published[r];
@@ -780,7 +791,7 @@
                 // Guards a cold replica when one zone asks for far more than it reported, as when its proxies
                 // have just come back: no table leans on it much more than the fleet does.
                 rate = path.warmth() < 1 ? Math.min(rate, COLD_SPREAD * path.capacity + FLOOR / lines) : rate;
-                double to = path.usable() ? Math.round(rate * 1e5) / 1e5 : 0;
+                double to = path.allowed(r) ? Math.round(rate * 1e5) / 1e5 : 0;
                 double size = Math.abs(to - old);
                 if (to == 0 ? old > 0 : size > SKIP * old) {
                     changes.add(new Change(r, path, to, to == 0 ? 2 : old == 0 ? 1 + size : size));
