--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.DoubleSummaryStatistics;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -93,7 +94,6 @@
     private static final double TRIAL = 0.15;
     /** Tenths of a ms beyond the longest transit after which an unanswered mark means a queue. */
     private static final long MARK_SLACK = 5_000;
-
     /** Share of the channel's limit that a batch with drains may fill; the rest is for those who join. */
     private static final double PRESSING_PART = 0.9;
     /** Trying again only after proof that the first try never ran: safe for every class. */
@@ -547,15 +547,13 @@
      * alone follows the weight that it was given, and feeds on itself. Few answers lean on the kind's mean.
      */
     private void estimate() {
-        TreeMap<String, double[]> kinds = new TreeMap<>();
-        double[] fleet = new double[2];
+        TreeMap<String, DoubleSummaryStatistics> kinds = new TreeMap<>();
+        DoubleSummaryStatistics fleet = new DoubleSummaryStatistics();
         for (Replica replica : replicas.values()) {
             if (replica.usable() && replica.answered >= 1) {
-                double[] kind = kinds.computeIfAbsent(replica.kind, name -> new double[2]);
-                for (double[] peers : List.of(fleet, kind)) {
-                    peers[0] += replica.answered / replica.busy();
-                    peers[1]++;
-                }
+                double own = replica.answered / replica.busy();
+                fleet.accept(own);
+                kinds.computeIfAbsent(replica.kind, kind -> new DoubleSummaryStatistics()).accept(own);
             }
         }
         double[] old = replicas.values().stream().mapToDouble(replica -> replica.capacity).toArray();
@@ -563,8 +561,7 @@
         double reach = 0;
         double busy = 0;
         for (Replica replica : replicas.values()) {
-            double[] peers = kinds.getOrDefault(replica.kind, fleet);
-            double mean = peers[1] > 0 ? peers[0] / peers[1] : 1;
+            double mean = fleet.getCount() > 0 ? kinds.getOrDefault(replica.kind, fleet).getAverage() : 1;
             double own = replica.answered / replica.busy();
             double back = Math.min(1, TRIAL + (1 - TRIAL) * (now - replica.near.returned) / RETURN);
             double part = replica.near.shunned || !replica.usable() ? 0 : back * replica.warmth();
@@ -581,7 +578,10 @@
         // Guards a cold replica when clients and proxies together try far more than the fleet can do, or
         // when much of it is cold; could hold a new one back for a while after a short storm.
         // Proxies that have just joined count by what they usually get: reports of them come too late.
-        double expected = proxies.values().stream().flatMapToDouble(p -> Arrays.stream(p.rate)).sum() / 10_000;
+        double expected = 0;
+        for (Proxy proxy : proxies.values()) {
+            expected += Arrays.stream(proxy.rate).sum() / 10_000;
+        }
         double asked = Math.max(expected, flowTime > 0 ? tried / flowTime : 0);
         double strain = fleetRate > 0 ? asked / fleetRate : 0;
         double bearable = COLD_PART * number("fall.multiple", 1);
@@ -612,8 +612,8 @@
         }
         // In a jam answers fall though the capacity is there, and refusing by them would refuse nearly all:
         // the rate of calmer times holds the room up. Too high where much capacity is really lost.
-        steadyRate = medianFailures < CALM || steadyRate == 0
-                ? steadyRate + (fleetRate - steadyRate) * (steadyRate == 0 ? 1 : STEADY_STEP) : steadyRate;
+        double step = steadyRate == 0 ? 1 : medianFailures < CALM ? STEADY_STEP : 0;
+        steadyRate += step * (fleetRate - steadyRate);
         double room = FULL * Math.max(fleetRate, JAM_PART * steadyRate);
         // In a full jam servers work on what nobody waits for any more, whatever is still let in. Letting in
         // next to nothing until the oldest has timed out frees them at once; costs that time if it is wrong.
@@ -660,11 +660,8 @@
                 for (Replica path : replicas.values()) {
                     sum += path.open(r) ? copy(path, r, penalty, marginal) : 0;
                 }
-                if (sum > y) {
-                    low = y;
-                } else {
-                    high = y;
-                }
+                low = sum > y ? y : low;
+                high = sum > y ? high : y;
             }
             double marginal = weight[r] / Math.pow((low + high) / 2, ALPHA);
             total[r] = 0;
@@ -686,39 +683,25 @@
     /** The link's copies: the nearest point whose sum stays within the capacity. */
     private void project(Replica link, double penalty) {
         double[] point = new double[requests];
-        double sum = 0;
-        for (int r = 0; r < requests; r++) {
-            point[r] = link.open(r) ? link.mean[r] + penalty * link.dual[r] : 0;
-            sum += Math.max(0, point[r]);
-        }
+        Arrays.setAll(point, r -> link.open(r) ? link.mean[r] + penalty * link.dual[r] : 0);
+        double[] sorted = point.clone();
+        Arrays.sort(sorted);
+        double prefix = 0;
         double cut = 0;
-        if (sum > link.capacity) {
-            double[] sorted = point.clone();
-            Arrays.sort(sorted);
-            double prefix = 0;
-            for (int i = 1; i <= requests; i++) {
-                prefix += sorted[requests - i];
-                double level = (prefix - link.capacity) / i;
-                if (level <= sorted[requests - i]) {
-                    cut = level;
-                }
-            }
+        for (int i = 1; i <= requests; i++) {
+            prefix += sorted[requests - i];
+            double level = (prefix - link.capacity) / i;
+            cut = level <= sorted[requests - i] ? Math.max(0, level) : cut;
         }
         for (int r = 0; r < requests; r++) {
             link.z[r] = Math.max(0, point[r] - cut);
         }
     }
 
-    /** The paper's start of the penalty, with every request able to use every link. */
+    /** The paper's start of the penalty. Any request could have every link: its utopic total is 1. */
     private double penalty() {
-        double least = Double.MAX_VALUE;
-        double most = 0;
-        for (double w : weight) {
-            double bound = w;
-            least = Math.min(least, w);
-            most = Math.max(most, w / Math.pow(bound, ALPHA + 1));
-        }
-        return ALPHA / Math.sqrt(least * most);
+        double least = Arrays.stream(weight).min().orElse(1);
+        return ALPHA * Math.pow(least, (ALPHA - 1) / 2);
     }
 
     /** A line of a request's table, or its level where no replica is named, and how much it matters. */
@@ -742,7 +725,8 @@
             int zone = change.request / classes;
             double cost = bound[zone] * (sent[zone] == 0 ? 2 + head : 1);
             if (full[zone] || cost > room) {
-                held |= change.replica != null && change.to == 0;
+                held |= change.replica != null && change.to < change.replica.published[change.request]
+                        && (change.to == 0 || change.replica.warmth() < 1);
                 continue;
             }
             room -= cost;
