Let a replica lean on its kind up to 15 answers

Kept for the incidents: a replica in a jam answers little, and a stronger prior keeps it from being starved and flooded in turn.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -35,7 +35,7 @@
     /** Tenths of a ms: memory of the capacity estimates (the design starts at 10 s). */
     private static final double CAPACITY_MEMORY = 80_000;
     /** Answers: a replica heard of less leans on the mean of its kind. */
-    private static final double PRIOR = 10;
+    private static final double PRIOR = 15;
     /** Share: a load report below it is mostly noise, and a rate over it would be as well. */
     private static final double LEAST_LOAD = 0.05;
     /** Tenths of a ms: memory of failures; short, as a failing replica does harm at once. */
