--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -12,6 +12,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /**
@@ -44,7 +45,7 @@
     private static final double DEMAND_STEP = 0.5;
     /** Exponent of the fairness; 1 is the design's start. */
     private static final double ALPHA = 1;
-    /** Worth of moving the whole traffic once, as a share of its benefit: the switching cost. */
+    /** Price of moving the whole traffic once, as a share of its benefit: the switching cost. */
     private static final double THETA = 0.0005;
     /** Part of the price of crossing zones that a path bears in the solve: a fifth of a line a round. */
     private static final double NEAR = 0.03;
@@ -58,8 +59,7 @@
     private static final double LEAST_DEMAND = 0.002;
     /** Tries: fewer say nothing about a replica. */
     private static final double FEW_TRIES = 3;
-    /** Share of failures at which a replica is shunned, beside twice the fleet's median: a common trouble,
-     *  or too much demand, raises the median and shuns nobody. */
+    /** Share of failures beside twice the median that shuns a replica: what all suffer shuns nobody. */
     private static final double EXCESS_FAILURES = 0.2;
     /** Load above which failures are put down to too much work. */
     private static final double OVERWORKED = 0.8;
@@ -82,6 +82,10 @@
     /** Level: changes below it are not sent; and the least level of any class. */
     private static final double LEVEL_STEP = 0.02;
     private static final double LEAST_LEVEL = 0.05;
+    /** Times a refused client comes again, at most; the refused share that tells; the step of learning. */
+    private static final double MOST_REPEATS = 3;
+    private static final double TRUSTED = 0.15;
+    private static final double REPEATS_STEP = 0.2;
     /** Share of what pushes a cold replica over that it may be sent, by the tries now made. */
     private static final double COLD_PART = 0.4;
     /** Times its part of the fleet's capacity that a cold replica may be of any one table. */
@@ -98,7 +102,7 @@
     private static final double PRESSING_PART = 0.9;
     /** Trying again only after proof that the first try never ran: safe for every class. */
     private static final int AGAIN = 1;
-    /** The wire's numbers for marks end here. */
+    /** Marks are numbered up to here, then from 1 again. */
     private static final int LAST_SERIAL = 65_535;
 
     // ---- what is known --------------------------------------------------------------------------
@@ -131,6 +135,8 @@
     // By class, faded: what came, and the level over time; then the tries, and the time that all this covers.
     private final double[] came;
     private final double[] level;
+    private final double[] letIn;
+    private double repeats;
     private double tried;
     private double flowTime;
     private double heardTime;
@@ -296,7 +302,9 @@
         sentLevel = new double[requests];
         came = new double[classes];
         level = new double[classes];
+        letIn = new double[classes];
         Arrays.fill(level, 1);
+        Arrays.fill(letIn, 1);
         fadedAt = now;
         queuedAt = now;
         dues.add(new Due(now, true, 0, false));
@@ -423,9 +431,8 @@
     }
 
     private void giveBack(Replica replica, boolean far) {
-        View view = replica == null ? null : far ? replica.far : replica.near;
-        if (view != null && view.shunned) {
-            view.returned = now;
+        if (replica != null && (far ? replica.far : replica.near).shunned) {
+            (far ? replica.far : replica.near).returned = now;
             replica.near.forget();
             replica.far.forget();
             notes.add("replica " + replica.id + " tried again");
@@ -487,6 +494,7 @@
             tried *= flowKept;
             for (int k = 0; k < classes; k++) {
                 came[k] *= flowKept;
+                letIn[k] = letIn[k] * flowKept + level[k] * (1 - flowKept);
             }
         }
     }
@@ -575,9 +583,8 @@
         }
         fleetRate = heardTime > 0 ? reach / heardTime : 0;
         fleetLoad = reach > 0 ? busy / reach : 0;
-        // Guards a cold replica when clients and proxies together try far more than the fleet can do, or
-        // when much of it is cold; could hold a new one back for a while after a short storm.
-        // Proxies that have just joined count by what they usually get: reports of them come too late.
+        // Guards a cold replica when all try far more than the fleet can do, or much of it is cold; could
+        // hold a new one back after a storm. Proxies just joined count by what they usually get.
         double expected = 0;
         for (Proxy proxy : proxies.values()) {
             expected += Arrays.stream(proxy.rate).sum() / 10_000;
@@ -602,11 +609,17 @@
         if (!terms.getOrDefault("admission", "").equals("share") || flowTime == 0) {
             return;
         }
+        // A refused client comes again; taken for new demand, it would have ever more refused. How often is
+        // learned from what passed beyond the tries seen, slowly, as tries end late. Could let in too much.
+        double passed = IntStream.range(0, classes).mapToDouble(k -> came[k] * letIn[k]).sum();
+        double refused = 1 - passed / Arrays.stream(came).sum();
+        double found = Math.max(0, Math.min(MOST_REPEATS, (passed / Math.max(1, tried) - 1) / refused));
+        repeats += refused > TRUSTED ? REPEATS_STEP * (found - repeats) : 0;
         double[] each = new double[classes];
         double demand = 0;
         double benefits = 0;
         for (int k = 0; k < classes; k++) {
-            each[k] = came[k] / flowTime;
+            each[k] = came[k] / flowTime / (1 + repeats * (1 - letIn[k]));
             demand += each[k];
             benefits += each[k] * benefit(k);
         }
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -264,6 +264,25 @@
         host.second(new Report(1, 90, 20, 1.0), new Report(2, 90, 20, 1.0));
     }
 
+    /** Incident i835d3c: three quarters were refused before an idle fleet, as refused clients came again. */
+    @Test
+    void refusedClientsWhoComeAgainAreNotNewDemand() {
+        FakeHost host = overworked(new FakeHost().fleet(2));
+        for (int i = 0; i < 30; i++) {
+            double level = host.levels.get(0);
+            int firstTries = 100;
+            int letIn = (int) Math.round(firstTries * level);
+            int came = (int) Math.round(firstTries * (1 + 2 * (1 - level)));
+            double load = Math.min(1, letIn / 100.0);
+            host.logic.heard(host.now, "east", 1, letIn / 2, 0, SECOND, load);
+            host.logic.heard(host.now, "west", 2, letIn / 2, 0, SECOND, load);
+            host.logic.usage(host.now, 0, "cut", came / 2, SECOND);
+            host.logic.usage(host.now, 1, "cut", came / 2, SECOND);
+            host.pass(1);
+        }
+        assertThat(host.levels.get(0)).as("0.8 of what the fleet can do").isGreaterThan(0.7);
+    }
+
     @Test
     void nothingIsRefusedWhereTheFleetIsNotBusy() {
         FakeHost host = new FakeHost().fleet(2);
