--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -87,7 +87,7 @@
     private static final double TRUSTED = 0.15;
     private static final double REPEATS_STEP = 0.2;
     /** Share of what pushes a cold replica over that it may be sent, by the tries now made. */
-    private static final double COLD_PART = 0.4;
+    private static final double COLD_PART = 0.3;
     /** Times its part of the fleet's capacity that a cold replica may be of any one table. */
     private static final double COLD_SPREAD = 1.5;
     /** Tenths of a ms: a shunned replica's first rest; it doubles up to the longest. */
