Tidy after rereading, decisions unchanged

Settings that every report and line asked for are read once; expected demand is the sum that the request weights already take; the penalty is worked out once a round; a load report is tested once. An unused method of the codec goes, and a row is built in one place.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -114,6 +114,8 @@
     /** A request is a class of a zone: zone number times classes, plus class; its table has that number. */
     private final int requests;
     private final double crossing;
+    private final double coldShare;
+    private final double warmAfter;
     private final TreeMap<Long, Replica> replicas = new TreeMap<>();
     private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
     private final TreeSet<Due> dues = new TreeSet<>(
@@ -138,6 +140,7 @@
     private final double[] letIn;
     private double repeats;
     private double tried;
+    private double expected;
     private double flowTime;
     private double heardTime;
     private long fadedAt;
@@ -233,10 +236,8 @@
 
         /** Part of its full capacity that it has at least: a new one starts cold and warms evenly. */
         double warmth() {
-            double least = number("cold.share", 0.1);
-            double age = now - started;
-            double span = number("warm.after", 300_000);
-            return started == 0 || age >= span ? 1 : least + (1 - least) * Math.max(0, age) / span;
+            double age = Math.max(0, now - started);
+            return started == 0 || age >= warmAfter ? 1 : coldShare + (1 - coldShare) * age / warmAfter;
         }
 
         /** Share of its time that it was busy, for all who send to it. */
@@ -295,6 +296,8 @@
             homebound[k] = Boolean.parseBoolean(terms.get("class." + k + ".own.zone"));
         }
         crossing = NEAR * number("price.crossing", 0);
+        coldShare = number("cold.share", 0.1);
+        warmAfter = number("warm.after", 300_000);
         requests = zones.size() * classes;
         weight = new double[requests];
         oldWeight = new double[requests];
@@ -371,13 +374,14 @@
         }
         tried += count;
         heardTime = heardTime == 0 ? span : heardTime;
+        double load = busy == null ? 0 : count * busy;
         View view = replica.view(zone);
         view.tries += count;
         view.lost += failed;
-        view.busy += busy == null ? 0 : count * busy;
+        view.busy += load;
         if (replica.warmth() >= 1) {
             replica.answered += Math.max(0, count - failed);
-            replica.busySum += busy == null ? 0 : count * busy;
+            replica.busySum += load;
             replica.busyTries += busy == null ? 0 : count;
         }
     }
@@ -431,8 +435,9 @@
     }
 
     private void giveBack(Replica replica, boolean far) {
-        if (replica != null && (far ? replica.far : replica.near).shunned) {
-            (far ? replica.far : replica.near).returned = now;
+        View view = replica == null ? null : far ? replica.far : replica.near;
+        if (view != null && view.shunned) {
+            view.returned = now;
             replica.near.forget();
             replica.far.forget();
             notes.add("replica " + replica.id + " tried again");
@@ -473,8 +478,9 @@
         weighDemand();
         estimate();
         setLevels();
+        double penalty = penalty();
         for (int i = 0; i < ITERATIONS; i++) {
-            iterate();
+            iterate(penalty);
         }
         publish(orders, pressing);
         dues.removeIf(Due::batch);
@@ -544,6 +550,7 @@
             }
         }
         double all = Arrays.stream(weight).sum();
+        expected = all / 10_000;
         Arrays.setAll(weight, r -> Math.max(LEAST_DEMAND, all > 0 ? weight[r] / all : 0));
         double sum = Arrays.stream(weight).sum();
         Arrays.setAll(weight, r -> weight[r] / sum);
@@ -585,10 +592,6 @@
         fleetLoad = reach > 0 ? busy / reach : 0;
         // Guards a cold replica when all try far more than the fleet can do, or much of it is cold; could
         // hold a new one back after a storm. Proxies just joined count by what they usually get.
-        double expected = 0;
-        for (Proxy proxy : proxies.values()) {
-            expected += Arrays.stream(proxy.rate).sum() / 10_000;
-        }
         double asked = Math.max(expected, flowTime > 0 ? tried / flowTime : 0);
         double strain = fleetRate > 0 ? asked / fleetRate : 0;
         double bearable = COLD_PART * number("fall.multiple", 1);
@@ -654,8 +657,7 @@
     }
 
     /** One iteration of FD-ADMM. Each path has one link, so its two duals are opposite: one is kept. */
-    private void iterate() {
-        double penalty = penalty();
+    private void iterate(double penalty) {
         for (Replica path : replicas.values()) {
             for (int r = 0; r < requests; r++) {
                 path.mean[r] = (path.x[r] + path.z[r]) / 2;
@@ -722,17 +724,17 @@
 
     private void publish(Orders orders, boolean pressing) {
         double head = number("message.head", 0);
-        double most = number("messages.limit", 0);
+        double most = Math.floor(number("messages.limit", 0) * (pressing ? 1 : MESSAGE_PART));
+        double expired = now - number("messages.span", 0);
         double part = pressing ? PRESSING_PART : CHANNEL_PART;
         double room = number("channel.limit", Double.MAX_VALUE) * part - queue();
         double[] bound = new double[zones.size()];
         double[] sent = new double[zones.size()];
         boolean[] full = new boolean[zones.size()];
         for (Proxy proxy : proxies.values()) {
-            proxy.messages.removeIf(at -> at <= now - number("messages.span", 0));
+            proxy.messages.removeIf(at -> at <= expired);
             bound[proxy.zone] += proxy.bound ? 1 : 0;
-            double limit = Math.floor(most * (pressing ? 1 : MESSAGE_PART));
-            full[proxy.zone] |= most > 0 && proxy.messages.size() >= limit;
+            full[proxy.zone] |= most > 0 && proxy.messages.size() >= most;
         }
         for (Change change : changes()) {
             int zone = change.request / classes;
@@ -753,17 +755,15 @@
             }
         }
         serial = serial % LAST_SERIAL + 1;
-        boolean any = false;
         for (Proxy proxy : proxies.values()) {
             if (proxy.bound && sent[proxy.zone] > 0) {
                 double lines = sent[proxy.zone] + 1 + head;
                 queued += lines;
                 proxy.messages.add(now);
                 proxy.marks.add(new long[] {serial, now, (long) lines});
-                any = true;
             }
         }
-        if (any) {
+        if (IntStream.range(0, bound.length).anyMatch(zone -> bound[zone] > 0 && sent[zone] > 0)) {
             orders.mark(serial, false);
         }
         replicas.values().removeIf(replica -> replica.health == Listed.Health.GONE && !replica.inTables());
--- a/src/main/java/rockshift/drill/Codec.java
+++ b/src/main/java/rockshift/drill/Codec.java
@@ -75,15 +75,6 @@
         return parts[next++];
     }
 
-    /** All parts that are left, as one text. */
-    String rest() {
-        StringBuilder rest = new StringBuilder();
-        while (next < parts.length) {
-            rest.append(rest.isEmpty() ? "" : " ").append(parts[next++]);
-        }
-        return rest.toString();
-    }
-
     long whole(String expected) {
         String part = text(expected);
         try {
@@ -144,15 +135,15 @@
         String zone = text("a zone");
         String kind = text("a kind");
         text("a cell");
-        String health = text("a health");
-        number("a size");
-        long started = next < parts.length ? tenths("the last start") : 0;
-        return switch (health) {
-            case "Ready" -> new Listed(replica, zone, kind, Listed.Health.READY, started);
-            case "Terminating" -> new Listed(replica, zone, kind, Listed.Health.DRAINING, started);
-            case "Gone" -> new Listed(replica, zone, kind, Listed.Health.GONE, started);
+        Listed.Health health = switch (text("a health")) {
+            case "Ready" -> Listed.Health.READY;
+            case "Terminating" -> Listed.Health.DRAINING;
+            case "Gone" -> Listed.Health.GONE;
             default -> throw new Malformed(line, "Ready, Terminating or Gone");
         };
+        number("a size");
+        long started = next < parts.length ? tenths("the last start") : 0;
+        return new Listed(replica, zone, kind, health, started);
     }
 
     /** The settings that are left on the line, under our names; unknown ones are passed over. */
