Do not shut a class that brings nothing yet

Found on rereading: what was left for the other classes was divided by their demand. With none, rounding made the level 0 or not a number, and it stayed there when the class came. Its story gets a level of 0 without the change.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -645,11 +645,12 @@
         for (int k = 0; k < classes; k++) {
             double loss = (1 - ofWorst) * benefit(k) / benefits + ofWorst / each[k];
             lesser = loss < least ? k : lesser;
-            least = Math.min(loss, least);
+            least = loss < least ? loss : least;
         }
         double mine = lesser < 0 ? demand : each[lesser];
-        double low = Math.max(LEAST_LEVEL, Math.min(1, (room - demand + mine) / mine));
-        double high = Math.max(LEAST_LEVEL, Math.min(1, (room - low * mine) / (demand - mine)));
+        double rest = demand - mine;
+        double low = Math.max(LEAST_LEVEL, Math.min(1, (room - rest) / mine));
+        double high = rest > 0 ? Math.max(LEAST_LEVEL, Math.min(1, (room - low * mine) / rest)) : 1;
         for (int k = 0; k < classes; k++) {
             double to = fleetLoad < BUSY ? 1 : lesser < 0 || k == lesser ? low : high;
             level[k] = now < pausedUntil ? LEAST_LEVEL : Math.min(to, level[k] + RISE);
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -264,6 +264,19 @@
         host.second(new Report(1, 90, 20, 1.0), new Report(2, 90, 20, 1.0));
     }
 
+    /** Found on rereading: what is left for a class without traffic was divided by nothing. */
+    @Test
+    void aClassWithoutTrafficYetIsNotRefusedMore() {
+        FakeHost host = new FakeHost("classes", "2", "class.1.name", "pay", "class.1.benefit", "4",
+                "goal.worst.class", "0.3");
+        host.fleet(2);
+        for (int i = 0; i < 60; i++) {
+            host.second(new Report(1, 60 + i, 20, 1.0), new Report(2, 60, 20, 1.0));
+            assertThat(host.levels.get(1)).as("but for a step").isGreaterThan(host.levels.get(0) - 0.05);
+        }
+        assertThat(host.levels.get(0)).isLessThan(0.9);
+    }
+
     /** Incident i835d3c: three quarters were refused before an idle fleet, as refused clients came again. */
     @Test
     void refusedClientsWhoComeAgainAreNotNewDemand() {
