--- /dev/null
+++ b/src/main/java/rockshift/Channel.java
@@ -0,0 +1,78 @@
+package rockshift;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+
+/** The way to the proxies: what was written in this turn, what waits, and what nobody has answered yet. */
+final class Channel {
+    private static final int LAST_SERIAL = 65_535;
+
+    private final double head;
+    /** Lines a tenth of a millisecond. */
+    private final double pace;
+    private final List<Proxy> written = new ArrayList<>();
+    private double queued;
+    private double overdue;
+    private long at;
+    private int serial;
+
+    Channel(double head, double linesPerSecond, long now) {
+        this.head = head;
+        pace = linesPerSecond / 10_000;
+        at = now;
+    }
+
+    /** Counts lines of the message that a proxy gets in this turn; the first bring its head and the mark. */
+    void post(Proxy proxy, double lines, long now) {
+        if (proxy.lines == 0) {
+            proxy.messages.add(now);
+            written.add(proxy);
+        }
+        double all = lines + (proxy.lines == 0 ? head + 1 : 0);
+        proxy.lines += all;
+        queued += all;
+    }
+
+    /** Counts lines whose receivers are not known. */
+    void guess(double lines) {
+        queued += lines;
+    }
+
+    /** Closes the turn's messages under one number, or answers 0 where there is none. */
+    int mark(long now) {
+        if (written.isEmpty()) {
+            return 0;
+        }
+        serial = serial % LAST_SERIAL + 1;
+        for (Proxy proxy : written) {
+            proxy.marks.add(new long[] {serial, now, (long) proxy.lines});
+            proxy.lines = 0;
+        }
+        written.clear();
+        return serial;
+    }
+
+    static void answered(Proxy proxy, int serial) {
+        if (proxy.marks.stream().anyMatch(mark -> mark[0] == serial)) {
+            while (proxy.marks.removeFirst()[0] != serial) {
+                continue;
+            }
+        }
+    }
+
+    /** Lines that wait: by the usual pace, or by marks unanswered for longer than that and the way take. */
+    double queue(long now, long way, Collection<Proxy> proxies) {
+        if (now != at) {
+            queued = Math.max(0, queued - (now - at) * pace);
+            at = now;
+            overdue = 0;
+            for (Proxy proxy : proxies) {
+                for (long[] mark : proxy.marks) {
+                    overdue += now - mark[1] > way + queued / pace ? mark[2] : 0;
+                }
+            }
+        }
+        return Math.max(queued, overdue);
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/Known.java
@@ -0,0 +1,135 @@
+package rockshift;
+
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** What one governor knows: inputs write down what they tell, and {@link Logic} decides what follows. */
+abstract class Known {
+    final Map<String, String> terms;
+    final List<String> zones;
+    final int classes;
+    final TreeMap<Long, Replica> replicas = new TreeMap<>();
+    final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
+    /** Proxies that still hold what they came with, in the order of joining. */
+    final LinkedHashMap<Integer, Proxy> waiting = new LinkedHashMap<>();
+    final ArrayDeque<String> notes = new ArrayDeque<>();
+    long now;
+    boolean timerSet;
+    /** The list is not as it was dealt from; a replica in a table changed; proxies joined. */
+    boolean listChanged = true;
+    boolean urgent = true;
+    boolean unsettled;
+    long joinedAt;
+    /** By class, what came; and the tries seen, with the first span of a report. */
+    final double[] came;
+    double tried;
+    double heardTime;
+
+    Known(long now, Map<String, String> terms) {
+        this.now = now;
+        this.terms = terms;
+        zones = Arrays.asList(terms.getOrDefault("zones", "").split(","));
+        // Sites with slices hand out tables of their own: none is laid there.
+        classes = number("slices", 0) > 0 ? 0 : (int) number("classes", 0);
+        came = new double[classes];
+    }
+
+    final double number(String name, double otherwise) {
+        String value = terms.get(name);
+        return value == null || value.isEmpty() ? otherwise : Double.parseDouble(value);
+    }
+
+    /** The list: changes only, or the whole of it. */
+    public void listed(long now, List<Listed> entries, boolean changes) {
+        this.now = now;
+        TreeSet<Long> missing = new TreeSet<>(changes ? List.of() : replicas.keySet());
+        for (Listed entry : entries) {
+            missing.remove(entry.replica());
+            Replica replica = replicas.computeIfAbsent(entry.replica(), Replica::new);
+            boolean restarted = entry.started() > replica.started;
+            if (restarted) {
+                replica.started = entry.started();
+                replica.forget();
+            }
+            replica.zone = entry.zone();
+            replica.kind = entry.kind();
+            change(replica, entry.health(), restarted ? " started" : "");
+        }
+        missing.forEach(id -> change(replicas.get(id), Listed.Health.GONE, ""));
+    }
+
+    private void change(Replica replica, Listed.Health health, String also) {
+        listChanged = true;
+        if (health != replica.health || !also.isEmpty()) {
+            urgent |= replica.inTables();
+            replica.changed = now;
+            replica.health = health;
+            notes.add("replica " + replica.id + " " + health + also);
+        }
+    }
+
+    /** A proxy's stream is up; the proxy holds what it held. */
+    public void joined(long now, int number, String zone, double usualRate) {
+        left(now, number);
+        double[] rate = new double[classes];
+        Arrays.fill(rate, usualRate / Math.max(1, classes));
+        Proxy proxy = new Proxy(number, Math.max(0, zones.indexOf(zone)), rate);
+        proxies.put(number, proxy);
+        waiting.put(number, proxy);
+        joinedAt = now;
+        unsettled = true;
+    }
+
+    public void left(long now, int number) {
+        this.now = now;
+        Proxy proxy = proxies.remove(number);
+        waiting.remove(number);
+        if (proxy != null && proxy.place != null) {
+            proxy.place.joined--;
+            proxy.place.bound -= proxy.bound ? 1 : 0;
+            proxy.place.laid &= proxy.place.joined > 0;
+        }
+    }
+
+    /** What the proxies of a zone met at a replica over a span, and its load if an answer told it. */
+    public void heard(long now, String zone, long id, int count, int failed, long span, Double busy) {
+        this.now = now;
+        Replica replica = replicas.get(id);
+        if (replica != null) {
+            tried += count;
+            heardTime = heardTime == 0 ? span : heardTime;
+            replica.heard(zone, count, failed, busy);
+        }
+    }
+
+    /** Transactions of a class that came to a proxy over a span. */
+    public void usage(long now, int number, String type, int count, long span) {
+        this.now = now;
+        Proxy proxy = proxies.get(number);
+        for (int k = 0; proxy != null && span > 0 && k < classes; k++) {
+            if (type.equals(terms.get("class." + k + ".name"))) {
+                came[k] += count;
+                proxy.came[k] += count;
+                proxy.span[k] += span;
+            }
+        }
+    }
+
+    /** A proxy has applied the messages up to a mark. */
+    public void caughtUp(long now, int number, int serial) {
+        this.now = now;
+        if (proxies.containsKey(number)) {
+            Channel.answered(proxies.get(number), serial);
+        }
+    }
+
+    public void woken(long now) {
+        this.now = now;
+        timerSet = false;
+    }
+}
--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -1,6 +1,5 @@
 package rockshift;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -21,7 +20,7 @@
  * Inputs only update what is known. Times are tenths of a millisecond on the host's clock.
  * The mechanism and every exception to it are explained in docs/design.md.
  */
-public final class Logic {
+public final class Logic extends Known {
     // ---- constants: unit, and the reason for the size -------------------------------------------
     /** Tenths of a ms: the timer. A tenth of the gathering time, so that nothing due waits long. */
     private static final long TURN = 1_000;
@@ -31,6 +30,8 @@
     private static final double SKIP = 0.1;
     /** Share of the channel's limit that ordinary batches may fill (the design's half). */
     private static final double CHANNEL_PART = 0.5;
+    /** Seconds of the channel's usual pace that a batch's changed weights may use: all else matters more. */
+    private static final double CHANGES_PART = 0.25;
     /** Share of the message limit left to ordinary batches; drains and joins need the rest. */
     private static final double MESSAGE_PART = 0.6;
     /** Tenths of a ms: memory of the capacity estimates (the design starts at 10 s). */
@@ -41,22 +42,32 @@
     private static final double LEAST_LOAD = 0.05;
     /** Tenths of a ms: memory of failures; short, as a failing replica does harm at once. */
     private static final double HEALTH_MEMORY = 50_000;
-    /** Part: how far one usage report moves a proxy's rate; two reports make most of a change. */
-    private static final double DEMAND_STEP = 0.5;
+    /** Tenths of a ms: memory of a proxy's rate; short, as callers come and go, but a few reports long. */
+    private static final double DEMAND_MEMORY = 30_000;
     /** Exponent of the fairness; 1 is the design's start. */
     private static final double ALPHA = 1;
-    /** Price of moving the whole traffic once, as a share of its benefit: the switching cost. */
-    private static final double THETA = 0.0005;
-    /** Part of the price of crossing zones that a path bears in the solve: a fifth of a line a round. */
-    private static final double NEAR = 0.03;
+    /** Mean lines that a line must be off, in the units of the dual, before it moves: the switching cost. */
+    private static final double THETA = 0.07;
+    /** Mean lines for the whole price of crossing zones: what a path that crosses bears in the solve. */
+    private static final double NEAR = 3;
     /** Iterations a report round (the design's 5). */
     private static final int ITERATIONS = 5;
     /** Bisection steps: enough for 12 digits. */
     private static final int BISECTIONS = 40;
     /** Share of an even line that every line keeps: enough to go on hearing of the replica. */
     private static final double FLOOR = 0.02;
-    /** Demand share below which a request still gets a table, for proxies that may join it. */
-    private static final double LEAST_DEMAND = 0.002;
+    /** Demand that all requests in use share beside their own, so that each keeps a fair table. */
+    private static final double LEAST_DEMAND = 0.02;
+    /** Transactions a line should get before its idle connection closes: fewer seldom find one open. */
+    private static final double REUSE = 2.5;
+    /** Tables to hold each replica, so that load can shift between them; and the least lines of one. */
+    private static final double DEGREE = 4;
+    private static final double LEAST_LINES = 8;
+    /** Times the lines wanted up to which a fleet is laid whole; the part left that fills a table up. */
+    private static final double WHOLE = 1.5;
+    private static final double REFILL = 0.75;
+    /** Tenths of a ms for which a gone replica is remembered: proxies may still join with old tables. */
+    private static final long REMEMBERED = 600_000;
     /** Tries: fewer say nothing about a replica. */
     private static final double FEW_TRIES = 3;
     /** Share of failures beside twice the median that shuns a replica: what all suffer shuns nobody. */
@@ -100,49 +111,34 @@
     private static final long MARK_SLACK = 5_000;
     /** Share of the channel's limit that a batch with drains may fill; the rest is for those who join. */
     private static final double PRESSING_PART = 0.9;
+    /** Share of the channel's limit that those who join may fill. */
+    private static final double JOIN_PART = 0.5;
     /** Trying again only after proof that the first try never ran: safe for every class. */
     private static final int AGAIN = 1;
-    /** Marks are numbered up to here, then from 1 again. */
-    private static final int LAST_SERIAL = 65_535;
 
-    // ---- what is known --------------------------------------------------------------------------
-    private final Map<String, String> terms;
+    // ---- state ----------------------------------------------------------------------------------
     private final RandomGenerator chance;
-    private final List<String> zones;
-    private final int classes;
     private final boolean[] homebound;
-    /** A request is a class of a zone: zone number times classes, plus class; its table has that number. */
-    private final int requests;
-    private final double crossing;
+    private final double head;
+    private final double limit;
     private final double coldShare;
     private final double warmAfter;
-    private final TreeMap<Long, Replica> replicas = new TreeMap<>();
-    private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
+    private final Channel channel;
+    private final List<Place> places = new ArrayList<>();
+    /** Requests that have proxies now, and the links that they use; lines that a table should have. */
+    private List<Request> requests = List.of();
+    private List<Replica> links = List.of();
+    private double lines;
     private final TreeSet<Due> dues = new TreeSet<>(
             Comparator.comparingLong(Due::at).thenComparing(Due::batch).thenComparing(Due::replica)
                     .thenComparing(Due::far));
-    private final ArrayDeque<String> notes = new ArrayDeque<>();
-    private long now;
-    private boolean timerSet;
-    private boolean urgent = true;
     private boolean held;
-    private double queued;
-    private long queuedAt;
-    private int serial;
-    // By request: demand shares, class totals, levels as sent.
-    private final double[] weight;
-    private final double[] oldWeight;
-    private final double[] total;
-    private final double[] sentLevel;
-    // By class, faded: what came, and the level over time; then the tries, and the time that all this covers.
-    private final double[] came;
+    // By class: the level, and what it was over time; the time that what came and was tried covers.
     private final double[] level;
     private final double[] letIn;
     private double repeats;
-    private double tried;
     private double expected;
     private double flowTime;
-    private double heardTime;
     private long fadedAt;
     private double fleetRate;
     private double steadyRate;
@@ -153,273 +149,41 @@
     /** Work that falls due: the next batch, or the end of a shunned replica's rest in one view. */
     private record Due(long at, boolean batch, long replica, boolean far) { }
 
-    /** What proxies of its own zone, or those of others, lately saw of a replica. */
-    private static final class View {
-        double tries;
-        double lost;
-        double busy;
-        boolean shunned;
-        long rest = REST;
-        long returned = Long.MIN_VALUE / 2;
-
-        double failureShare() {
-            return lost / tries;
-        }
-
-        void forget() {
-            tries = lost = busy = 0;
-            shunned = false;
-        }
-
-        void fade(double kept) {
-            tries *= kept;
-            lost *= kept;
-            busy *= kept;
-        }
-    }
-
-    /** A path of every request, and the one link that they share there. */
-    private final class Replica {
-        final long id;
-        String zone;
-        String kind;
-        Listed.Health health = Listed.Health.READY;
-        long started;
-        // Evidence, faded: for the capacity, then for the health.
-        double answered;
-        double busySum;
-        double busyTries;
-        final View near = new View();
-        final View far = new View();
-        // The solve: the link's capacity; the request's copy, the link's copy and their mean; the dual.
-        double capacity;
-        final double[] x = new double[requests];
-        final double[] z = new double[requests];
-        final double[] mean = new double[requests];
-        final double[] dual = new double[requests];
-        final double[] published = new double[requests];
-        final boolean[] placed = new boolean[requests];
-
-        Replica(long id) {
-            this.id = id;
-        }
-
-        boolean usable() {
-            return health == Listed.Health.READY;
-        }
-
-        /** Whether a request may use this path at all; some classes must stay in their zone. */
-        boolean allowed(int r) {
-            return usable() && (!homebound[r % classes] || zone.equals(zones.get(r / classes)));
-        }
-
-        View view(String from) {
-            return from.equals(zone) ? near : far;
-        }
-
-        View seen() {
-            View all = new View();
-            all.tries = near.tries + far.tries;
-            all.lost = near.lost + far.lost;
-            all.busy = near.busy + far.busy;
-            return all;
-        }
-
-        /** Whether a request may use this path: shunned near means for all, shunned far for the others. */
-        boolean open(int r) {
-            return allowed(r) && !near.shunned && !view(zones.get(r / classes)).shunned;
-        }
-
-        boolean inTables() {
-            return Arrays.stream(published).anyMatch(line -> line > 0);
-        }
-
-        /** Part of its full capacity that it has at least: a new one starts cold and warms evenly. */
-        double warmth() {
-            double age = Math.max(0, now - started);
-            return started == 0 || age >= warmAfter ? 1 : coldShare + (1 - coldShare) * age / warmAfter;
-        }
-
-        /** Share of its time that it was busy, for all who send to it. */
-        double busy() {
-            return busyTries > 0 ? Math.max(LEAST_LOAD, busySum / busyTries) : 1;
-        }
-
-        void fade(double capacityKept, double healthKept) {
-            answered *= capacityKept;
-            busySum *= capacityKept;
-            busyTries *= capacityKept;
-            near.fade(healthKept);
-            far.fade(healthKept);
-        }
-
-        /**
-         * Carries the copies over to a changed capacity and demand in proportion: they stay feasible when
-         * a capacity falls, and small requests are not bent by what large ones gain. A new path starts at
-         * the optimum of the undisturbed problem, so that it need not be sought.
-         */
-        void carry(double oldCapacity) {
-            for (int r = 0; r < requests; r++) {
-                boolean known = placed[r] && oldCapacity > 0 && capacity > 0;
-                placed[r] = open(r);
-                double scale = known ? capacity / oldCapacity * weight[r] / oldWeight[r] : 0;
-                x[r] = !placed[r] ? 0 : known ? x[r] * scale : weight[r] * capacity;
-                z[r] = !placed[r] ? 0 : known ? z[r] * scale : weight[r] * capacity;
-                dual[r] = known ? dual[r] : Math.pow(weight[r], 1 - ALPHA);
-            }
-        }
-    }
-
-    private static final class Proxy {
-        final int zone;
-        final double[] rate;
-        final ArrayDeque<Long> messages = new ArrayDeque<>();
-        /** Marks without an answer: serial, time, lines. */
-        final ArrayDeque<long[]> marks = new ArrayDeque<>();
-        boolean bound;
-
-        Proxy(int zone, double[] rate) {
-            this.zone = zone;
-            this.rate = rate;
-        }
-    }
-
     public Logic(long now, long seed, Map<String, String> terms) {
-        this.now = now;
-        this.terms = terms;
+        super(now, terms);
         chance = new SplittableRandom(seed);
-        zones = Arrays.asList(terms.getOrDefault("zones", "").split(","));
-        // Sites with slices hand out tables of their own: none is laid there.
-        classes = number("slices", 0) > 0 ? 0 : (int) number("classes", 0);
         homebound = new boolean[classes];
         for (int k = 0; k < classes; k++) {
             homebound[k] = Boolean.parseBoolean(terms.get("class." + k + ".own.zone"));
         }
-        crossing = NEAR * number("price.crossing", 0);
+        head = number("message.head", 0);
+        limit = number("channel.limit", Double.MAX_VALUE);
+        channel = new Channel(head, number("channel.pace", Double.MAX_VALUE), now);
         coldShare = number("cold.share", 0.1);
         warmAfter = number("warm.after", 300_000);
-        requests = zones.size() * classes;
-        weight = new double[requests];
-        oldWeight = new double[requests];
-        total = new double[requests];
-        sentLevel = new double[requests];
-        came = new double[classes];
         level = new double[classes];
         letIn = new double[classes];
         Arrays.fill(level, 1);
         Arrays.fill(letIn, 1);
         fadedAt = now;
-        queuedAt = now;
         dues.add(new Due(now, true, 0, false));
     }
 
-    private double number(String name, double otherwise) {
-        String value = terms.get(name);
-        return value == null || value.isEmpty() ? otherwise : Double.parseDouble(value);
-    }
-
     private double benefit(int k) {
         return number("class." + k + ".benefit", 1);
     }
 
-    // ---- inputs ---------------------------------------------------------------------------------
-
-    /** The list: changes only, or the whole of it. */
-    public void listed(long now, List<Listed> entries, boolean changes) {
-        this.now = now;
-        TreeSet<Long> missing = new TreeSet<>(changes ? List.of() : replicas.keySet());
-        for (Listed entry : entries) {
-            missing.remove(entry.replica());
-            Replica replica = replicas.computeIfAbsent(entry.replica(), Replica::new);
-            boolean restarted = entry.started() > replica.started;
-            if (restarted || entry.health() != replica.health) {
-                urgent |= replica.inTables();
-                notes.add("replica " + replica.id + " " + entry.health() + (restarted ? " started" : ""));
-            }
-            if (restarted) {
-                replica.started = entry.started();
-                replica.answered = replica.busySum = replica.busyTries = 0;
-                replica.near.forget();
-                replica.far.forget();
-            }
-            replica.zone = entry.zone();
-            replica.kind = entry.kind();
-            replica.health = entry.health();
-        }
-        for (Long id : missing) {
-            replicas.get(id).health = Listed.Health.GONE;
-            urgent |= replicas.get(id).inTables();
-        }
-    }
-
-    /** A proxy's stream is up; the proxy holds what it held. */
-    public void joined(long now, int number, String zone, double usualRate) {
-        this.now = now;
-        double[] rate = new double[classes];
-        Arrays.fill(rate, usualRate / Math.max(1, classes));
-        proxies.put(number, new Proxy(Math.max(0, zones.indexOf(zone)), rate));
-    }
-
-    public void left(long now, int number) {
-        this.now = now;
-        proxies.remove(number);
-    }
-
-    /** What the proxies of a zone met at a replica over a span, and its load if an answer told it. */
-    public void heard(long now, String zone, long id, int count, int failed, long span, Double busy) {
-        this.now = now;
-        Replica replica = replicas.get(id);
-        if (replica == null) {
-            return;
-        }
-        tried += count;
-        heardTime = heardTime == 0 ? span : heardTime;
-        double load = busy == null ? 0 : count * busy;
-        View view = replica.view(zone);
-        view.tries += count;
-        view.lost += failed;
-        view.busy += load;
-        if (replica.warmth() >= 1) {
-            replica.answered += Math.max(0, count - failed);
-            replica.busySum += load;
-            replica.busyTries += busy == null ? 0 : count;
-        }
-    }
-
-    /** Transactions of a class that came to a proxy over a span. */
-    public void usage(long now, int number, String type, int count, long span) {
-        this.now = now;
-        Proxy proxy = proxies.get(number);
-        for (int k = 0; proxy != null && span > 0 && k < classes; k++) {
-            if (type.equals(terms.get("class." + k + ".name"))) {
-                came[k] += count;
-                proxy.rate[k] += DEMAND_STEP * (count * 10_000.0 / span - proxy.rate[k]);
-            }
-        }
-    }
-
-    public void caughtUp(long now, int number, int serial) {
-        this.now = now;
-        Proxy proxy = proxies.get(number);
-        if (proxy != null && proxy.marks.stream().anyMatch(mark -> mark[0] == serial)) {
-            while (proxy.marks.removeFirst()[0] != serial) {
-                continue;
-            }
-        }
-    }
-
-    public void woken(long now) {
-        this.now = now;
-        timerSet = false;
-    }
-
     // ---- decisions ------------------------------------------------------------------------------
 
     /** Takes one decision, if there is one to take now. */
     public boolean decide(Orders orders) {
         Due due = dues.first();
-        if (!timerSet) {
+        if (unsettled) {
+            waiting.values().forEach(this::settle);
+            unsettled = false;
+        } else if (!timerSet) {
             timerSet = true;
+            urgent |= held;
             orders.wake(TURN);
         } else if (!notes.isEmpty()) {
             orders.log(notes.remove());
@@ -428,12 +192,27 @@
         } else if (due.at <= now) {
             dues.pollFirst();
             giveBack(replicas.get(due.replica), due.far);
-        } else {
-            return proxies.entrySet().stream().anyMatch(e -> join(orders, e.getKey(), e.getValue()));
+        } else if (!join(orders) && !withdraw(orders)) {
+            // One mark for all messages of a turn: those long unanswered tell of a slow channel.
+            int serial = channel.mark(now);
+            if (serial > 0) {
+                orders.mark(serial, false);
+            }
+            return serial > 0;
         }
         return true;
     }
 
+    /** Counts a proxy to its place; tables that nobody used, or that are not there yet, are laid first. */
+    private void settle(Proxy proxy) {
+        int each = places.size() / zones.size();
+        if (each > 0 && proxy.place == null) {
+            proxy.place = places.get(proxy.zone * each + proxy.number % each);
+            proxy.place.joined++;
+        }
+        urgent |= each == 0 || !proxy.place.laid;
+    }
+
     private void giveBack(Replica replica, boolean far) {
         View view = replica == null ? null : far ? replica.far : replica.near;
         if (view != null && view.shunned) {
@@ -444,35 +223,61 @@
         }
     }
 
-    /** Lays the tables of its zone under a proxy; never one without a line. */
-    private boolean join(Orders orders, int number, Proxy proxy) {
-        double lines = number("message.head", 0);
-        int first = proxy.zone * classes;
-        for (int r = first; r < first + classes && !proxy.bound; r++) {
-            int request = r;
-            long filled = replicas.values().stream().filter(path -> path.published[request] > 0).count();
+    /** Lays the tables of its place under the proxy that waits longest; never one without a line. */
+    private boolean join(Orders orders) {
+        Proxy proxy = waiting.isEmpty() ? null : waiting.values().iterator().next();
+        if (proxy == null || proxy.place == null || !proxy.place.laid) {
+            return false;
+        }
+        double cost = 0;
+        for (Request request : proxy.place.requests) {
+            long filled = request.paths.values().stream().filter(path -> path.published > 0).count();
             if (filled == 0) {
                 return false;
             }
-            lines += filled + 2;
+            cost += filled + 2;
         }
-        if (proxy.bound || queue() + lines > number("channel.limit", Double.MAX_VALUE)) {
+        if (queue() + cost + head + 1 > limit * JOIN_PART) {
             return false;
         }
-        for (int k = 0; k < classes; k++) {
-            orders.bind(first + k, number, 1 << k);
+        for (Request request : proxy.place.requests) {
+            orders.bind(request.number, proxy.number, 1 << request.type);
         }
+        waiting.remove(proxy.number);
         proxy.bound = true;
-        proxy.messages.add(now);
-        queued += lines;
+        proxy.place.bound++;
+        channel.post(proxy, cost, now);
         return true;
     }
 
+    /**
+     * Guards drains where the channel leaves proxies waiting with what they came with: a replica that leaves
+     * is shut out there too, and again for those who joined since. It is let in again when none waits, so
+     * that no cold one meets old weights; that loses some of its work where it warmed meanwhile.
+     */
+    private boolean withdraw(Orders orders) {
+        for (Replica replica : replicas.values()) {
+            boolean out = !replica.usable() && !waiting.isEmpty() && now >= replica.withdrawnAt + GATHER / 2
+                    && (!replica.withdrawn || joinedAt > replica.withdrawnAt);
+            boolean in = replica.usable() && replica.withdrawn && waiting.isEmpty();
+            if (out || in) {
+                replica.withdrawn = out;
+                replica.withdrawnAt = now;
+                orders.withdraw(replica.id, out);
+                channel.guess(out ? waiting.size() * (head + 1) * Math.min(1, lines / replicas.size()) : 0);
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Judges, solves and sends the differences, those of drains first. */
     private void batch(Orders orders) {
-        boolean pressing = urgent || held;
+        // Pressing ones do not put the ordinary one off: a list that keeps changing would for ever.
+        boolean ordinary = dues.removeIf(due -> due.batch && due.at <= now);
         urgent = false;
         held = false;
+        deal();
         fade();
         judge();
         weighDemand();
@@ -482,9 +287,83 @@
         for (int i = 0; i < ITERATIONS; i++) {
             iterate(penalty);
         }
-        publish(orders, pressing);
-        dues.removeIf(Due::batch);
-        dues.add(new Due(now + (held ? TURN : GATHER), true, 0, false));
+        publish(orders, ordinary);
+        if (ordinary) {
+            dues.add(new Due(now + GATHER, true, 0, false));
+        }
+    }
+
+    /**
+     * Deals each place its replicas. Where whole tables fit the channel and the connections, all get all.
+     * Else a zone's proxies fall into several places, half the lines near and half far, dealt so that each
+     * replica is held about equally often; what was dealt stays until it goes, and who is new is added.
+     */
+    private void deal() {
+        List<Replica> usable = replicas.values().stream().filter(Replica::usable).toList();
+        if (!listChanged && !places.isEmpty() || usable.isEmpty() || proxies.isEmpty()) {
+            return;
+        }
+        listChanged = false;
+        if (places.isEmpty()) {
+            open(usable.size());
+        }
+        double half = Math.ceil(lines / 2);
+        for (Place place : places) {
+            replicas.values().stream().filter(replica -> !replica.usable()).forEach(place::remove);
+            if (place.members.size() < REFILL * Math.min(lines, usable.size())) {
+                fill(place, usable, true, half);
+                fill(place, usable, false, lines);
+                fill(place, usable, true, lines);
+            }
+        }
+        double each = Math.floor(places.size() * half / usable.size());
+        for (Replica replica : usable) {
+            spread(replica, true, Math.max(1, each) - replica.heldNear);
+            spread(replica, false, each - replica.heldFar);
+        }
+        for (Place place : places) {
+            for (Request request : place.requests) {
+                place.members.forEach((id, member) ->
+                        request.paths.computeIfAbsent(id, key -> new Path(request, member)));
+            }
+        }
+    }
+
+    /** Adds those that the fewest places hold, of its zone or of the others, up to so many lines. */
+    private void fill(Place place, List<Replica> usable, boolean near, double upTo) {
+        usable.stream().filter(replica -> place.lacks(replica, near))
+                .sorted(Comparator.comparingInt((Replica other) -> near ? other.heldNear : other.heldFar)
+                        .thenComparingLong(replica -> order(place, replica)))
+                .limit((long) Math.max(0, upTo - place.members.size())).forEach(place::add);
+    }
+
+    /** Adds a replica to the shortest tables of its zone or the others. */
+    private void spread(Replica replica, boolean near, double more) {
+        places.stream().filter(place -> more > 0 && place.lacks(replica, near))
+                .sorted(Comparator.comparingInt((Place place) -> place.members.size())
+                        .thenComparingLong(place -> order(place, replica)))
+                .limit((long) Math.max(0, more)).forEach(place -> place.add(replica));
+    }
+
+    /** The same at every governor and after a restart: a proxy that moves finds its replicas again. */
+    private static long order(Place place, Replica replica) {
+        return new SplittableRandom(replica.id * Short.MAX_VALUE + place.number).nextLong();
+    }
+
+    /** Opens the places, by what was told at start and what the first proxies usually get. */
+    private void open(int usable) {
+        double usual = proxies.values().stream().flatMapToDouble(proxy -> Arrays.stream(proxy.rate)).sum()
+                / proxies.size();
+        double kept = usual * number("idle.close", Double.MAX_VALUE) / 10_000 / REUSE;
+        double all = Math.max(proxies.size(), number("proxies", 0));
+        double fits = (limit * number("governors", 1) / all - head) / classes - 2;
+        lines = Math.max(LEAST_LINES, Math.floor(Math.min(kept, fits)));
+        lines = usable <= WHOLE * lines ? Double.MAX_VALUE : lines;
+        double each = Math.max(1, Math.ceil(DEGREE * usable / lines / zones.size()));
+        for (String zone : zones) {
+            IntStream.range(0, (int) each).forEach(i -> places.add(new Place(places.size(), zone, classes)));
+        }
+        proxies.values().forEach(this::settle);
     }
 
     /** Old evidence fades, by the time passed and not by the number of reports. */
@@ -493,7 +372,10 @@
         double healthKept = Math.exp((fadedAt - now) / HEALTH_MEMORY);
         double flowKept = Math.exp((fadedAt - now) / FLOW_MEMORY);
         fadedAt = now;
-        replicas.values().forEach(replica -> replica.fade(capacityKept, healthKept));
+        for (Replica replica : replicas.values()) {
+            // What a cold replica answers tells nothing of what it will when it is warm.
+            replica.fade(warmth(replica) < 1 ? 0 : capacityKept, healthKept);
+        }
         if (heardTime > 0) {
             heardTime = heardTime * capacityKept + CAPACITY_MEMORY * (1 - capacityKept);
             flowTime = flowTime * flowKept + FLOW_MEMORY * (1 - flowKept);
@@ -540,20 +422,33 @@
         }
     }
 
-    /** Request weights: shares of demand, by zone and class. */
+    /** Request weights: shares of demand, by place and class. */
     private void weighDemand() {
-        System.arraycopy(weight, 0, oldWeight, 0, requests);
-        Arrays.fill(weight, 0);
+        for (Place place : places) {
+            for (Request request : place.requests) {
+                request.oldWeight = request.weight;
+                request.weight = 0;
+            }
+        }
+        expected = 0;
         for (Proxy proxy : proxies.values()) {
-            for (int k = 0; k < classes; k++) {
-                weight[proxy.zone * classes + k] += proxy.rate[k];
+            for (int k = 0; k < classes && proxy.place != null; k++) {
+                double step = 1 - Math.exp(-proxy.span[k] / DEMAND_MEMORY);
+                proxy.rate[k] += step * (proxy.came[k] * 10_000 / Math.max(1, proxy.span[k]) - proxy.rate[k]);
+                proxy.came[k] = proxy.span[k] = 0;
+                proxy.place.requests.get(k).weight += proxy.rate[k];
+                expected += proxy.rate[k] / 10_000;
             }
         }
-        double all = Arrays.stream(weight).sum();
-        expected = all / 10_000;
-        Arrays.setAll(weight, r -> Math.max(LEAST_DEMAND, all > 0 ? weight[r] / all : 0));
-        double sum = Arrays.stream(weight).sum();
-        Arrays.setAll(weight, r -> weight[r] / sum);
+        requests = places.stream().filter(place -> place.joined > 0)
+                .flatMap(place -> place.requests.stream()).toList();
+        double all = Math.max(expected * 10_000, Double.MIN_NORMAL);
+        for (Request request : requests) {
+            request.weight = (request.weight / all + LEAST_DEMAND / requests.size()) / (1 + LEAST_DEMAND);
+        }
+        replicas.values().forEach(replica -> replica.used.clear());
+        requests.forEach(request -> request.paths.values().forEach(path -> path.link.used.add(path)));
+        links = replicas.values().stream().filter(replica -> !replica.used.isEmpty()).toList();
     }
 
     /**
@@ -566,26 +461,26 @@
         DoubleSummaryStatistics fleet = new DoubleSummaryStatistics();
         for (Replica replica : replicas.values()) {
             if (replica.usable() && replica.answered >= 1) {
-                double own = replica.answered / replica.busy();
+                double own = replica.answered / busy(replica);
                 fleet.accept(own);
                 kinds.computeIfAbsent(replica.kind, kind -> new DoubleSummaryStatistics()).accept(own);
             }
         }
-        double[] old = replicas.values().stream().mapToDouble(replica -> replica.capacity).toArray();
         double sum = 0;
         double reach = 0;
         double busy = 0;
-        for (Replica replica : replicas.values()) {
+        for (Replica replica : links) {
             double mean = fleet.getCount() > 0 ? kinds.getOrDefault(replica.kind, fleet).getAverage() : 1;
-            double own = replica.answered / replica.busy();
+            double own = replica.answered / busy(replica);
             double back = Math.min(1, TRIAL + (1 - TRIAL) * (now - replica.near.returned) / RETURN);
-            double part = replica.near.shunned || !replica.usable() ? 0 : back * replica.warmth();
+            double part = replica.near.shunned || !replica.usable() ? 0 : back * warmth(replica);
+            replica.oldCapacity = replica.capacity;
             replica.capacity = part * (replica.answered * own + PRIOR * mean) / (replica.answered + PRIOR);
             sum += replica.capacity;
             // What none of our proxies can reach, as behind a cut, is no capacity to admit by.
-            if (proxies.values().stream().anyMatch(proxy -> replica.open(proxy.zone * classes))) {
+            if (replica.used.stream().anyMatch(path -> open(path))) {
                 reach += replica.capacity;
-                busy += replica.capacity * replica.busy();
+                busy += replica.capacity * busy(replica);
             }
         }
         fleetRate = heardTime > 0 ? reach / heardTime : 0;
@@ -595,14 +490,61 @@
         double asked = Math.max(expected, flowTime > 0 ? tried / flowTime : 0);
         double strain = fleetRate > 0 ? asked / fleetRate : 0;
         double bearable = COLD_PART * number("fall.multiple", 1);
-        int i = 0;
-        for (Replica replica : replicas.values()) {
-            replica.capacity *= replica.warmth() < 1 && strain > bearable ? bearable / strain : 1;
+        for (Replica replica : links) {
+            replica.capacity *= warmth(replica) < 1 && strain > bearable ? bearable / strain : 1;
             replica.capacity = sum > 0 ? replica.capacity / sum : 0;
-            replica.carry(old[i++]);
+        }
+        for (Request request : requests) {
+            request.utopic = 0;
+            for (Path path : request.paths.values()) {
+                request.utopic += open(path) ? path.link.capacity : 0;
+            }
+            for (Path path : request.paths.values()) {
+                boolean known = path.open && request.oldWeight > 0
+                        && path.link.oldCapacity > 0 && path.link.capacity > 0;
+                path.open = open(path);
+                carry(path, known);
+            }
         }
     }
 
+    /**
+     * Carries the copies over to a changed capacity and demand in proportion: they stay feasible when
+     * a capacity falls, and small requests are not bent by what large ones gain. A new path starts at
+     * the optimum of the undisturbed problem, so that it need not be sought.
+     */
+    private static void carry(Path path, boolean known) {
+        Request request = path.request;
+        double link = path.link.capacity;
+        double scale = known ? link / path.link.oldCapacity * request.weight / request.oldWeight : 0;
+        double start = request.weight * link / Math.max(request.utopic, Double.MIN_NORMAL);
+        path.x = !path.open ? 0 : known ? path.x * scale : start;
+        path.z = !path.open ? 0 : known ? path.z * scale : start;
+        path.dual = known ? path.dual : Math.pow(request.weight, 1 - ALPHA);
+    }
+
+    /** Whether a request may use a path at all; some classes must stay in their zone. */
+    private boolean allowed(Path path) {
+        return path.link.usable() && (path.near || !homebound[path.request.type])
+                && path.request.place.members.containsKey(path.link.id);
+    }
+
+    /** Part of its full capacity that a replica has at least: a new one starts cold and warms evenly. */
+    private double warmth(Replica replica) {
+        double age = Math.max(0, now - replica.started);
+        return replica.started == 0 || age >= warmAfter ? 1 : coldShare + (1 - coldShare) * age / warmAfter;
+    }
+
+    /** Share of its time that a replica was busy, for all who send to it. */
+    private static double busy(Replica replica) {
+        return replica.busyTries > 0 ? Math.max(LEAST_LOAD, replica.busySum / replica.busyTries) : 1;
+    }
+
+    /** Shunned near means for all, shunned far for those of other zones. */
+    private boolean open(Path path) {
+        return allowed(path) && !path.link.near.shunned && (path.near || !path.link.far.shunned);
+    }
+
     /**
      * Levels: no more is let in than the fleet can answer, the lesser benefit refused first where the goal
      * allows it. Guards against too much demand and lost capacity of any cause, where admission is a share.
@@ -659,140 +601,172 @@
 
     /** One iteration of FD-ADMM. Each path has one link, so its two duals are opposite: one is kept. */
     private void iterate(double penalty) {
-        for (Replica path : replicas.values()) {
-            for (int r = 0; r < requests; r++) {
-                path.mean[r] = (path.x[r] + path.z[r]) / 2;
-                path.dual[r] += (path.x[r] - path.mean[r]) / penalty;
-            }
-            project(path, penalty);
-        }
-        for (int r = 0; r < requests; r++) {
-            double high = 2;
-            double low = 0;
-            for (int i = 0; i < BISECTIONS; i++) {
-                double y = (low + high) / 2;
-                double marginal = weight[r] / Math.pow(y, ALPHA);
-                double sum = 0;
-                for (Replica path : replicas.values()) {
-                    sum += path.open(r) ? copy(path, r, penalty, marginal) : 0;
-                }
-                low = sum > y ? y : low;
-                high = sum > y ? high : y;
-            }
-            double marginal = weight[r] / Math.pow((low + high) / 2, ALPHA);
-            total[r] = 0;
-            for (Replica path : replicas.values()) {
-                path.x[r] = path.open(r) ? copy(path, r, penalty, marginal) : 0;
-                total[r] += path.z[r];
+        for (Replica link : links) {
+            for (Path path : link.used) {
+                path.mean = (path.x + path.z) / 2;
+                path.dual += (path.x - path.mean) / penalty;
             }
+            project(link, penalty);
+        }
+        // The switching cost and the cost of crossing, in mean lines moved an iteration.
+        double line = 1.0 / Math.max(1, links.stream().mapToInt(link -> link.used.size()).sum());
+        double cross = NEAR * number("price.crossing", 0) * line;
+        for (Request request : requests) {
+            root(request, penalty, THETA * line, cross);
         }
     }
 
-    /** A request's own copy of a path's rate, held at the current rate by the switching cost. */
-    private double copy(Replica path, int r, double penalty, double marginal) {
-        double current = path.published[r] * total[r];
-        double cost = path.zone.equals(zones.get(r / classes)) ? 0 : crossing;
-        double move = path.mean[r] + penalty * (marginal - path.dual[r] - cost) - current;
-        return current + Math.signum(move) * Math.max(0, Math.abs(move) - penalty * THETA);
+    /** The root search for the class total, and the request's copies: the switching cost holds them. */
+    private void root(Request request, double penalty, double theta, double cross) {
+        List<Path> open = request.paths.values().stream().filter(path -> path.open).toList();
+        double[] current = open.stream().mapToDouble(path -> path.published * request.total).toArray();
+        double[] move = new double[current.length];
+        for (int i = 0; i < move.length; i++) {
+            Path path = open.get(i);
+            move[i] = path.mean - penalty * path.dual - (path.near ? 0 : cross) - current[i];
+        }
+        double high = 2;
+        double low = 0;
+        double marginal = 0;
+        for (int i = 0; i < BISECTIONS; i++) {
+            double y = (low + high) / 2;
+            marginal = penalty * request.weight / Math.pow(y, ALPHA);
+            double sum = 0;
+            for (int p = 0; p < move.length; p++) {
+                double to = move[p] + marginal;
+                sum += current[p] + Math.signum(to) * Math.max(0, Math.abs(to) - theta);
+            }
+            low = sum > y ? y : low;
+            high = sum > y ? high : y;
+        }
+        request.total = 0;
+        for (int p = 0; p < move.length; p++) {
+            double to = move[p] + marginal;
+            open.get(p).x = current[p] + Math.signum(to) * Math.max(0, Math.abs(to) - theta);
+            request.total += open.get(p).z;
+        }
     }
 
     /** The link's copies: the nearest point whose sum stays within the capacity. */
     private void project(Replica link, double penalty) {
-        double[] point = new double[requests];
-        Arrays.setAll(point, r -> link.open(r) ? link.mean[r] + penalty * link.dual[r] : 0);
-        double[] sorted = point.clone();
+        double[] sorted = new double[link.used.size()];
+        for (int i = 0; i < sorted.length; i++) {
+            Path path = link.used.get(i);
+            path.z = path.open ? path.mean + penalty * path.dual : 0;
+            sorted[i] = path.z;
+        }
         Arrays.sort(sorted);
         double prefix = 0;
         double cut = 0;
-        for (int i = 1; i <= requests; i++) {
-            prefix += sorted[requests - i];
+        for (int i = 1; i <= sorted.length; i++) {
+            prefix += sorted[sorted.length - i];
             double level = (prefix - link.capacity) / i;
-            cut = level <= sorted[requests - i] ? Math.max(0, level) : cut;
+            cut = level <= sorted[sorted.length - i] ? Math.max(0, level) : cut;
         }
-        for (int r = 0; r < requests; r++) {
-            link.z[r] = Math.max(0, point[r] - cut);
+        for (Path path : link.used) {
+            path.z = Math.max(0, path.z - cut);
         }
     }
 
-    /** The paper's start of the penalty. Any request could have every link: its utopic total is 1. */
+    /** The paper's start of the penalty, from utopic totals and lower bounds; the weights sum to 1. */
     private double penalty() {
-        double least = Arrays.stream(weight).min().orElse(1);
-        return ALPHA * Math.pow(least, (ALPHA - 1) / 2);
+        double lowest = requests.stream().filter(request -> request.utopic > 0)
+                .mapToDouble(request -> request.weight * request.utopic).min().orElse(1);
+        double least = Double.MAX_VALUE;
+        double most = 0;
+        for (Request request : requests) {
+            double midpoint = request.weight * request.utopic;
+            double bound = Math.pow(lowest, 1 - 1 / ALPHA) * Math.pow(midpoint, 1 / ALPHA);
+            if (midpoint > 0) {
+                least = Math.min(least, request.weight / Math.pow(request.utopic, ALPHA + 1));
+                most = Math.max(most, request.weight / Math.pow(bound, ALPHA + 1));
+            }
+        }
+        return most > 0 ? ALPHA / Math.sqrt(least * most) : 1;
     }
 
-    /** A line of a request's table, or its level where no replica is named, and how much it matters. */
-    private record Change(int request, Replica replica, double to, double size) { }
+    /** A line of a request's table, or its level where no path is named, and how much it matters. */
+    private record Change(Request request, Path path, double to, double size) { }
 
-    private void publish(Orders orders, boolean pressing) {
-        double head = number("message.head", 0);
-        double most = Math.floor(number("messages.limit", 0) * (pressing ? 1 : MESSAGE_PART));
+    private void publish(Orders orders, boolean gathered) {
+        double most = Math.floor(number("messages.limit", 0) * (gathered ? MESSAGE_PART : 1));
         double expired = now - number("messages.span", 0);
-        double part = pressing ? PRESSING_PART : CHANNEL_PART;
-        double room = number("channel.limit", Double.MAX_VALUE) * part - queue();
-        double[] bound = new double[zones.size()];
-        double[] sent = new double[zones.size()];
-        boolean[] full = new boolean[zones.size()];
+        double room = limit * PRESSING_PART - queue();
+        double ordinary = room - limit * (PRESSING_PART - CHANNEL_PART);
+        double weights = gathered ? CHANGES_PART * number("channel.pace", Double.MAX_VALUE) : 0;
+        for (Place place : places) {
+            place.sent = 0;
+            place.full = false;
+        }
         for (Proxy proxy : proxies.values()) {
             proxy.messages.removeIf(at -> at <= expired);
-            bound[proxy.zone] += proxy.bound ? 1 : 0;
-            full[proxy.zone] |= most > 0 && proxy.messages.size() >= most;
+            if (proxy.bound) {
+                proxy.place.full |= most > 0 && proxy.messages.size() >= most;
+            }
         }
         for (Change change : changes()) {
-            int zone = change.request / classes;
-            double cost = bound[zone] * (sent[zone] == 0 ? 2 + head : 1);
-            if (full[zone] || cost > room) {
-                held |= change.replica != null && change.to < change.replica.published[change.request]
-                        && (change.to == 0 || change.replica.warmth() < 1);
+            Place place = change.request.place;
+            double cost = place.bound * (place.sent == 0 ? 2 + head : 1);
+            boolean changed = change.path != null && change.to > 0 && change.path.published > 0;
+            boolean guard = change.path != null && change.to < change.path.published
+                    && (change.to == 0 || warmth(change.path.link) < 1);
+            double left = guard ? room : changed ? Math.min(weights, ordinary) : ordinary;
+            if (place.bound > 0 && place.full || cost > left) {
+                held |= guard;
                 continue;
             }
             room -= cost;
-            sent[zone]++;
-            if (change.replica == null) {
-                sentLevel[change.request] = change.to;
-                orders.admit(change.request, 0, change.to, AGAIN);
+            ordinary -= cost;
+            weights -= changed ? cost : 0;
+            place.sent++;
+            if (change.path == null) {
+                change.request.sentLevel = change.to;
+                orders.admit(change.request.number, 1 << change.request.type, change.to, AGAIN);
             } else {
-                change.replica.published[change.request] = change.to;
-                orders.line(change.request, change.replica.id, change.to);
+                change.path.published = change.to;
+                orders.line(change.request.number, change.path.link.id, change.to);
             }
         }
-        serial = serial % LAST_SERIAL + 1;
         for (Proxy proxy : proxies.values()) {
-            if (proxy.bound && sent[proxy.zone] > 0) {
-                double lines = sent[proxy.zone] + 1 + head;
-                queued += lines;
-                proxy.messages.add(now);
-                proxy.marks.add(new long[] {serial, now, (long) lines});
+            if (proxy.bound && proxy.place.sent > 0) {
+                channel.post(proxy, proxy.place.sent, now);
             }
         }
-        if (IntStream.range(0, bound.length).anyMatch(zone -> bound[zone] > 0 && sent[zone] > 0)) {
-            orders.mark(serial, false);
+        for (Place place : places) {
+            place.laid = place.joined > 0;
+            place.requests.forEach(request -> request.paths.values().removeIf(path -> path.published == 0
+                    && !allowed(path) && path.link.paths.remove(path)));
         }
-        replicas.values().removeIf(replica -> replica.health == Listed.Health.GONE && !replica.inTables());
+        replicas.values().removeIf(replica -> replica.health == Listed.Health.GONE && !replica.inTables()
+                && now > replica.changed + REMEMBERED);
     }
 
     /** What differs enough from what was sent: removals first, then levels and new lines, then by size. */
     private List<Change> changes() {
         List<Change> changes = new ArrayList<>();
-        double lines = replicas.values().stream().filter(Replica::usable).count();
-        for (int r = 0; r < requests; r++) {
-            double share = Math.round(level[r % classes] * 100) / 100.0;
-            if (Math.abs(share - sentLevel[r]) > LEVEL_STEP || share == 1 && sentLevel[r] < 1) {
-                changes.add(new Change(r, null, share, 1));
+        for (Request request : requests) {
+            double share = Math.round(level[request.type] * 100) / 100.0;
+            if (Math.abs(share - request.sentLevel) > LEVEL_STEP || share == 1 && request.sentLevel < 1) {
+                changes.add(new Change(request, null, share, 1));
             }
             double sum = 0;
-            for (Replica path : replicas.values()) {
-                sum += path.allowed(r) ? path.z[r] : 0;
+            double allowed = 0;
+            for (Path path : request.paths.values()) {
+                sum += allowed(path) ? path.z : 0;
+                allowed += allowed(path) ? 1 : 0;
             }
-            for (Replica path : replicas.values()) {
-                double old = path.published[r];
-                double rate = sum > 0 ? Math.max(FLOOR / lines, path.z[r] / sum) : old > 0 ? old : 1 / lines;
-                // Guards a cold replica when one zone asks for far more than it reported, as when its proxies
+            for (Path path : request.paths.values()) {
+                double old = path.published;
+                double rate = sum > 0 ? Math.max(FLOOR / allowed, path.z / sum) : old > 0 ? old : 1 / allowed;
+                // Guards a cold replica when one place asks for far more than it reported, as if its proxies
                 // have just come back: no table leans on it much more than the fleet does.
-                rate = path.warmth() < 1 ? Math.min(rate, COLD_SPREAD * path.capacity + FLOOR / lines) : rate;
-                double to = path.allowed(r) ? Math.round(rate * 1e5) / 1e5 : 0;
+                double most = warmth(path.link) == 1 || request.utopic == 0 ? 1
+                        : COLD_SPREAD * path.link.capacity / request.utopic + FLOOR / allowed;
+                rate = rate > most ? most * (1 - rate) / (1 - most) : rate;
+                double to = allowed(path) ? Math.round(rate * 1e5) / 1e5 : 0;
                 double size = Math.abs(to - old);
                 if (to == 0 ? old > 0 : size > SKIP * old) {
-                    changes.add(new Change(r, path, to, to == 0 ? 2 : old == 0 ? 1 + size : size));
+                    changes.add(new Change(request, path, to, to == 0 ? 2 : old == 0 ? 1 + size : size));
                 }
             }
         }
@@ -800,14 +774,7 @@
         return changes;
     }
 
-    /** Lines that may wait in the channel: by its usual pace, or by marks long unanswered. */
     private double queue() {
-        double pace = number("channel.pace", Double.MAX_VALUE) / 10_000;
-        queued = Math.max(0, queued - (now - queuedAt) * pace);
-        queuedAt = now;
-        double patience = number("transit.longest", 0) + queued / pace + MARK_SLACK;
-        double overdue = proxies.values().stream().flatMap(proxy -> proxy.marks.stream())
-                .filter(mark -> now - mark[1] > patience).mapToDouble(mark -> mark[2]).sum();
-        return Math.max(queued, overdue);
+        return channel.queue(now, (long) number("transit.longest", 0) + MARK_SLACK, proxies.values());
     }
 }
--- /dev/null
+++ b/src/main/java/rockshift/Place.java
@@ -0,0 +1,53 @@
+package rockshift;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+
+/** Proxies of a zone that share tables, and the replicas dealt to them. */
+final class Place {
+    final int number;
+    final String zone;
+    final TreeMap<Long, Replica> members = new TreeMap<>();
+    final List<Request> requests = new ArrayList<>();
+    int joined;
+    int bound;
+    /** Whether the tables are in use and up to the last batch. */
+    boolean laid;
+    // While a batch is published: lines so far, and whether a proxy may get no more messages.
+    double sent;
+    boolean full;
+
+    Place(int number, String zone, int classes) {
+        this.number = number;
+        this.zone = zone;
+        for (int k = 0; k < classes; k++) {
+            requests.add(new Request(this, k, number * classes + k));
+        }
+    }
+
+    boolean near(Replica replica) {
+        return zone.equals(replica.zone);
+    }
+
+    /** Whether it could take a replica, from its zone or from the others. */
+    boolean lacks(Replica replica, boolean near) {
+        return near(replica) == near && !members.containsKey(replica.id);
+    }
+
+    void add(Replica replica) {
+        members.put(replica.id, replica);
+        count(replica, 1);
+    }
+
+    void remove(Replica replica) {
+        if (members.remove(replica.id) != null) {
+            count(replica, -1);
+        }
+    }
+
+    private void count(Replica replica, int one) {
+        replica.heldNear += near(replica) ? one : 0;
+        replica.heldFar += near(replica) ? 0 : one;
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/Proxy.java
@@ -0,0 +1,29 @@
+package rockshift;
+
+import java.util.ArrayDeque;
+
+/** A joined proxy: what comes to it, and what it was sent. */
+final class Proxy {
+    final int number;
+    final int zone;
+    /** By class: transactions a second, and what was reported since that was last reckoned. */
+    final double[] rate;
+    final double[] came;
+    final double[] span;
+    /** Times of the messages that count against the limit. */
+    final ArrayDeque<Long> messages = new ArrayDeque<>();
+    /** Marks without an answer: serial, time, lines. */
+    final ArrayDeque<long[]> marks = new ArrayDeque<>();
+    /** Lines of the message that it gets in this turn. */
+    double lines;
+    Place place;
+    boolean bound;
+
+    Proxy(int number, int zone, double[] rate) {
+        this.number = number;
+        this.zone = zone;
+        this.rate = rate;
+        came = new double[rate.length];
+        span = new double[rate.length];
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/Replica.java
@@ -0,0 +1,73 @@
+package rockshift;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What is known of a replica: the one link of all paths that lead to it. */
+final class Replica {
+    final long id;
+    String zone = "";
+    String kind;
+    Listed.Health health = Listed.Health.READY;
+    long started;
+    long changed;
+    /** Whether proxies were told to keep off whatever their tables say, and when they last were. */
+    boolean withdrawn;
+    long withdrawnAt = Long.MIN_VALUE / 2;
+    // Evidence, faded: for the capacity, then for the health.
+    double answered;
+    double busySum;
+    double busyTries;
+    final View near = new View();
+    final View far = new View();
+    double capacity;
+    double oldCapacity;
+    /** All paths here, and those of requests in use; how many places of its zone and of others hold it. */
+    final List<Path> paths = new ArrayList<>();
+    final List<Path> used = new ArrayList<>();
+    int heldNear;
+    int heldFar;
+
+    Replica(long id) {
+        this.id = id;
+    }
+
+    boolean usable() {
+        return health == Listed.Health.READY;
+    }
+
+    boolean inTables() {
+        return paths.stream().anyMatch(path -> path.published > 0);
+    }
+
+    View view(String from) {
+        return from.equals(zone) ? near : far;
+    }
+
+    View seen() {
+        View all = new View();
+        all.add(near.tries + far.tries, near.lost + far.lost, near.busy + far.busy);
+        return all;
+    }
+
+    void heard(String from, int count, int failed, Double load) {
+        view(from).add(count, failed, load == null ? 0 : count * load);
+        answered += Math.max(0, count - failed);
+        busySum += load == null ? 0 : count * load;
+        busyTries += load == null ? 0 : count;
+    }
+
+    void forget() {
+        answered = busySum = busyTries = 0;
+        near.forget();
+        far.forget();
+    }
+
+    void fade(double capacityKept, double healthKept) {
+        answered *= capacityKept;
+        busySum *= capacityKept;
+        busyTries *= capacityKept;
+        near.fade(healthKept);
+        far.fade(healthKept);
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/Request.java
@@ -0,0 +1,22 @@
+package rockshift;
+
+import java.util.TreeMap;
+
+/** A class at a place: a table, numbered as the request, over the paths dealt to the place. */
+final class Request {
+    final Place place;
+    final int type;
+    final int number;
+    final TreeMap<Long, Path> paths = new TreeMap<>();
+    double weight;
+    double oldWeight;
+    double utopic;
+    double total;
+    double sentLevel;
+
+    Request(Place place, int type, int number) {
+        this.place = place;
+        this.type = type;
+        this.number = number;
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/View.java
@@ -0,0 +1,32 @@
+package rockshift;
+
+/** What proxies of its own zone, or those of others, lately saw of a replica. */
+final class View {
+    double tries;
+    double lost;
+    double busy;
+    boolean shunned;
+    long rest;
+    long returned = Long.MIN_VALUE / 2;
+
+    void add(double count, double failed, double load) {
+        tries += count;
+        lost += failed;
+        busy += load;
+    }
+
+    double failureShare() {
+        return lost / tries;
+    }
+
+    void forget() {
+        tries = lost = busy = 0;
+        shunned = false;
+    }
+
+    void fade(double kept) {
+        tries *= kept;
+        lost *= kept;
+        busy *= kept;
+    }
+}
