--- a/src/main/java/rockshift/Known.java
+++ b/src/main/java/rockshift/Known.java
@@ -20,8 +20,7 @@
     final ArrayDeque<String> notes = new ArrayDeque<>();
     long now;
     boolean timerSet;
-    /** The list is not as it was dealt from; a replica in a table changed; proxies joined. */
-    boolean listChanged = true;
+    /** A replica in a table changed; proxies joined. */
     boolean urgent = true;
     boolean unsettled;
     long joinedAt;
@@ -64,7 +63,6 @@
     }
 
     private void change(Replica replica, Listed.Health health, String also) {
-        listChanged = true;
         if (health != replica.health || !also.isEmpty()) {
             urgent |= replica.inTables();
             replica.changed = now;
--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -63,6 +63,8 @@
     /** Tables to hold each replica, so that load can shift between them; and the least lines of one. */
     private static final double DEGREE = 4;
     private static final double LEAST_LINES = 8;
+    /** Times its demand that a place should reach in capacity: a few proxies may bring most of it. */
+    private static final double SPARE = 1.5;
     /** Times the lines wanted up to which a fleet is laid whole; the part left that fills a table up. */
     private static final double WHOLE = 1.5;
     private static final double REFILL = 0.75;
@@ -296,27 +298,29 @@
     /**
      * Deals each place its replicas. Where whole tables fit the channel and the connections, all get all.
      * Else a zone's proxies fall into several places, half the lines near and half far, dealt so that each
-     * replica is held about equally often; what was dealt stays until it goes, and who is new is added.
+     * replica is held about equally often, and more where demand needs it; what was dealt stays until it goes.
      */
     private void deal() {
         List<Replica> usable = replicas.values().stream().filter(Replica::usable).toList();
-        if (!listChanged && !places.isEmpty() || usable.isEmpty() || proxies.isEmpty()) {
+        if (usable.isEmpty() || proxies.isEmpty()) {
             return;
         }
-        listChanged = false;
         if (places.isEmpty()) {
             open(usable.size());
         }
-        double half = Math.ceil(lines / 2);
         for (Place place : places) {
             replicas.values().stream().filter(replica -> !replica.usable()).forEach(place::remove);
-            if (place.members.size() < REFILL * Math.min(lines, usable.size())) {
-                fill(place, usable, true, half);
-                fill(place, usable, false, lines);
-                fill(place, usable, true, lines);
+            double has = place.members.size();
+            Request any = place.requests.get(0);
+            double demand = place.requests.stream().mapToDouble(request -> request.weight).sum();
+            double needs = Math.max(lines, any.utopic > 0 ? has * SPARE * demand / any.utopic : 0);
+            if (has < REFILL * Math.min(needs, usable.size())) {
+                fill(place, usable, true, has + (needs - has) / 2);
+                fill(place, usable, false, needs);
+                fill(place, usable, true, needs);
             }
         }
-        double each = Math.floor(places.size() * half / usable.size());
+        double each = Math.floor(places.size() * lines / 2 / usable.size());
         for (Replica replica : usable) {
             spread(replica, true, Math.max(1, each) - replica.heldNear);
             spread(replica, false, each - replica.heldFar);
@@ -619,7 +623,8 @@
     /** The root search for the class total, and the request's copies: the switching cost holds them. */
     private void root(Request request, double penalty, double theta, double cross) {
         List<Path> open = request.paths.values().stream().filter(path -> path.open).toList();
-        double[] current = open.stream().mapToDouble(path -> path.published * request.total).toArray();
+        double rate = request.total / request.scale;
+        double[] current = open.stream().mapToDouble(path -> path.published * rate).toArray();
         double[] move = new double[current.length];
         for (int i = 0; i < move.length; i++) {
             Path path = open.get(i);
@@ -749,23 +754,12 @@
             if (Math.abs(share - request.sentLevel) > LEVEL_STEP || share == 1 && request.sentLevel < 1) {
                 changes.add(new Change(request, null, share, 1));
             }
-            double sum = 0;
-            double allowed = 0;
-            for (Path path : request.paths.values()) {
-                sum += allowed(path) ? path.z : 0;
-                allowed += allowed(path) ? 1 : 0;
-            }
+            target(request);
             for (Path path : request.paths.values()) {
                 double old = path.published;
-                double rate = sum > 0 ? Math.max(FLOOR / allowed, path.z / sum) : old > 0 ? old : 1 / allowed;
-                // Guards a cold replica when one place asks for far more than it reported, as if its proxies
-                // have just come back: no table leans on it much more than the fleet does.
-                double most = warmth(path.link) == 1 || request.utopic == 0 ? 1
-                        : COLD_SPREAD * path.link.capacity / request.utopic + FLOOR / allowed;
-                rate = rate > most ? most * (1 - rate) / (1 - most) : rate;
-                double to = allowed(path) ? Math.round(rate * 1e5) / 1e5 : 0;
-                double size = Math.abs(to - old);
-                if (to == 0 ? old > 0 : size > SKIP * old) {
+                double to = allowed(path) ? (float) (path.target * request.scale) : 0;
+                double size = Math.abs(to - old) / request.scale;
+                if (to == 0 ? old > 0 : size * request.scale > SKIP * old) {
                     changes.add(new Change(request, path, to, to == 0 ? 2 : old == 0 ? 1 + size : size));
                 }
             }
@@ -774,6 +768,33 @@
         return changes;
     }
 
+    /**
+     * The published point: each line's part of its table, and the scale of what stands there. What remains
+     * of a table after removals keeps its scale, so that no line need be sent anew for another's going.
+     */
+    private void target(Request request) {
+        double sum = 0;
+        double allowed = 0;
+        for (Path path : request.paths.values()) {
+            sum += allowed(path) ? path.z : 0;
+            allowed += allowed(path) ? 1 : 0;
+        }
+        double standing = 0;
+        double targets = 0;
+        for (Path path : request.paths.values()) {
+            double part = sum > 0 ? Math.max(FLOOR / allowed, path.z / sum)
+                    : path.published > 0 ? path.published / request.scale : 1 / allowed;
+            // Guards a cold replica when one place asks for far more than it reported, as if its proxies
+            // have just come back: no table leans on it much more than the fleet does.
+            double most = warmth(path.link) == 1 || request.utopic == 0 ? 2
+                    : COLD_SPREAD * path.link.capacity / request.utopic + FLOOR / allowed;
+            path.target = part > most && part < 1 ? most * (1 - part) / (1 - most) : part;
+            standing += allowed(path) ? path.published : 0;
+            targets += allowed(path) && path.published > 0 ? path.target : 0;
+        }
+        request.scale = request.place.bound > 0 && targets > 0 ? standing / targets : 1;
+    }
+
     private double queue() {
         return channel.queue(now, (long) number("transit.longest", 0) + MARK_SLACK, proxies.values());
     }
--- a/src/main/java/rockshift/Path.java
+++ b/src/main/java/rockshift/Path.java
@@ -9,6 +9,7 @@
     double z;
     double mean;
     double dual;
+    double target;
     double published;
     boolean open;
 
--- a/src/main/java/rockshift/Request.java
+++ b/src/main/java/rockshift/Request.java
@@ -13,6 +13,8 @@
     double utopic;
     double total;
     double sentLevel;
+    /** What the standing weights sum to, where the targets sum to 1. */
+    double scale = 1;
 
     Request(Place place, int type, int number) {
         this.place = place;
