--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -50,6 +50,9 @@
     private static final double THETA = 0.07;
     /** Mean lines for the whole price of crossing zones: what a path that crosses bears in the solve. */
     private static final double NEAR = 3;
+    /** Part of a distant replica's capacity left alone, for the price of crossing and at most: its load stays lower. */
+    private static final double FAR = 5;
+    private static final double MOST_NEAR = 0.4;
     /** Iterations a report round (the design's 5). */
     private static final int ITERATIONS = 5;
     /** Bisection steps: enough for 12 digits. */
@@ -463,21 +466,23 @@
     private void estimate() {
         TreeMap<String, DoubleSummaryStatistics> kinds = new TreeMap<>();
         DoubleSummaryStatistics fleet = new DoubleSummaryStatistics();
-        for (Replica replica : replicas.values()) {
+        for (Replica replica : links) {
             if (replica.usable() && replica.answered >= 1) {
                 double own = replica.answered / busy(replica);
                 fleet.accept(own);
-                kinds.computeIfAbsent(replica.kind, kind -> new DoubleSummaryStatistics()).accept(own);
+                kinds.computeIfAbsent(peers(replica), key -> new DoubleSummaryStatistics()).accept(own);
             }
         }
+        double distant = 1 - Math.min(MOST_NEAR, FAR * number("price.crossing", 0));
         double sum = 0;
         double reach = 0;
         double busy = 0;
         for (Replica replica : links) {
-            double mean = fleet.getCount() > 0 ? kinds.getOrDefault(replica.kind, fleet).getAverage() : 1;
+            double mean = fleet.getCount() > 0 ? kinds.getOrDefault(peers(replica), fleet).getAverage() : 1;
             double own = replica.answered / busy(replica);
             double back = Math.min(1, TRIAL + (1 - TRIAL) * (now - replica.near.returned) / RETURN);
             double part = replica.near.shunned || !replica.usable() ? 0 : back * warmth(replica);
+            part *= distant(replica) ? distant : 1;
             replica.oldCapacity = replica.capacity;
             replica.capacity = part * (replica.answered * own + PRIOR * mean) / (replica.answered + PRIOR);
             sum += replica.capacity;
@@ -544,6 +549,15 @@
         return replica.busyTries > 0 ? Math.max(LEAST_LOAD, replica.busySum / replica.busyTries) : 1;
     }
 
+    /** Whether all who use it here are of other zones: those of its own then load it through other governors. */
+    private static boolean distant(Replica replica) {
+        return replica.used.stream().noneMatch(path -> path.near);
+    }
+
+    private static String peers(Replica replica) {
+        return replica.kind + (distant(replica) ? " afar" : "");
+    }
+
     /** Shunned near means for all, shunned far for those of other zones. */
     private boolean open(Path path) {
         return allowed(path) && !path.link.near.shunned && (path.near || !path.link.far.shunned);
