--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -43,7 +43,7 @@
     /** Tenths of a ms: memory of failures; short, as a failing replica does harm at once. */
     private static final double HEALTH_MEMORY = 50_000;
     /** Tenths of a ms: memory of a proxy's rate; short, as callers come and go, but a few reports long. */
-    private static final double DEMAND_MEMORY = 15_000;
+    private static final double DEMAND_MEMORY = 30_000;
     /** Exponent of the fairness; 1 is the design's start. */
     private static final double ALPHA = 1;
     /** Mean lines that a line must be off, in the units of the dual, before it moves: the switching cost. */
