--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -43,7 +43,7 @@
     /** Tenths of a ms: memory of failures; short, as a failing replica does harm at once. */
     private static final double HEALTH_MEMORY = 50_000;
     /** Tenths of a ms: memory of a proxy's rate; short, as callers come and go, but a few reports long. */
-    private static final double DEMAND_MEMORY = 30_000;
+    private static final double DEMAND_MEMORY = 15_000;
     /** Exponent of the fairness; 1 is the design's start. */
     private static final double ALPHA = 1;
     /** Mean lines that a line must be off, in the units of the dual, before it moves: the switching cost. */
@@ -473,7 +473,9 @@
                 kinds.computeIfAbsent(peers(replica), key -> new DoubleSummaryStatistics()).accept(own);
             }
         }
-        double distant = 1 - Math.min(MOST_NEAR, FAR * number("price.crossing", 0));
+        // A busy fleet cannot be choosy: what near replicas cannot carry in time is worth the crossing.
+        double choice = Math.max(0, Math.min(1, (OVERWORKED - fleetLoad) / (OVERWORKED - BUSY)));
+        double distant = 1 - Math.min(MOST_NEAR, FAR * number("price.crossing", 0)) * choice;
         double sum = 0;
         double reach = 0;
         double busy = 0;
