--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -50,9 +50,6 @@
     private static final double THETA = 0.07;
     /** Mean lines for the whole price of crossing zones: what a path that crosses bears in the solve. */
     private static final double NEAR = 3;
-    /** Part of a distant replica's capacity left alone, for the price of crossing and at most: its load stays lower. */
-    private static final double FAR = 5;
-    private static final double MOST_NEAR = 0.4;
     /** Iterations a report round (the design's 5). */
     private static final int ITERATIONS = 5;
     /** Bisection steps: enough for 12 digits. */
@@ -66,6 +63,8 @@
     /** Tables to hold each replica, so that load can shift between them; and the least lines of one. */
     private static final double DEGREE = 4;
     private static final double LEAST_LINES = 8;
+    /** Part of a place's lines that are near: crossing costs, but zones are not loaded alike. */
+    private static final double NEAR_LINES = 0.75;
     /** Times its demand that a place should reach in capacity: a few proxies may bring most of it. */
     private static final double SPARE = 1.5;
     /** Times the lines wanted up to which a fleet is laid whole; the part left that fills a table up. */
@@ -318,15 +317,15 @@
             double demand = place.requests.stream().mapToDouble(request -> request.weight).sum();
             double needs = Math.max(lines, any.utopic > 0 ? has * SPARE * demand / any.utopic : 0);
             if (has < REFILL * Math.min(needs, usable.size())) {
-                fill(place, usable, true, has + (needs - has) / 2);
+                fill(place, usable, true, has + (needs - has) * NEAR_LINES);
                 fill(place, usable, false, needs);
                 fill(place, usable, true, needs);
             }
         }
-        double each = Math.floor(places.size() * lines / 2 / usable.size());
+        double each = places.size() * lines / usable.size();
         for (Replica replica : usable) {
-            spread(replica, true, Math.max(1, each) - replica.heldNear);
-            spread(replica, false, each - replica.heldFar);
+            spread(replica, true, Math.max(1, Math.floor(each * NEAR_LINES)) - replica.heldNear);
+            spread(replica, false, Math.floor(each * (1 - NEAR_LINES)) - replica.heldFar);
         }
         for (Place place : places) {
             for (Request request : place.requests) {
@@ -470,21 +469,17 @@
             if (replica.usable() && replica.answered >= 1) {
                 double own = replica.answered / busy(replica);
                 fleet.accept(own);
-                kinds.computeIfAbsent(peers(replica), key -> new DoubleSummaryStatistics()).accept(own);
+                kinds.computeIfAbsent(replica.kind, kind -> new DoubleSummaryStatistics()).accept(own);
             }
         }
-        // A busy fleet cannot be choosy: what near replicas cannot carry in time is worth the crossing.
-        double choice = Math.max(0, Math.min(1, (OVERWORKED - fleetLoad) / (OVERWORKED - BUSY)));
-        double distant = 1 - Math.min(MOST_NEAR, FAR * number("price.crossing", 0)) * choice;
         double sum = 0;
         double reach = 0;
         double busy = 0;
         for (Replica replica : links) {
-            double mean = fleet.getCount() > 0 ? kinds.getOrDefault(peers(replica), fleet).getAverage() : 1;
+            double mean = fleet.getCount() > 0 ? kinds.getOrDefault(replica.kind, fleet).getAverage() : 1;
             double own = replica.answered / busy(replica);
             double back = Math.min(1, TRIAL + (1 - TRIAL) * (now - replica.near.returned) / RETURN);
             double part = replica.near.shunned || !replica.usable() ? 0 : back * warmth(replica);
-            part *= distant(replica) ? distant : 1;
             replica.oldCapacity = replica.capacity;
             replica.capacity = part * (replica.answered * own + PRIOR * mean) / (replica.answered + PRIOR);
             sum += replica.capacity;
@@ -551,15 +546,6 @@
         return replica.busyTries > 0 ? Math.max(LEAST_LOAD, replica.busySum / replica.busyTries) : 1;
     }
 
-    /** Whether all who use it here are of other zones: those of its own then load it through other governors. */
-    private static boolean distant(Replica replica) {
-        return replica.used.stream().noneMatch(path -> path.near);
-    }
-
-    private static String peers(Replica replica) {
-        return replica.kind + (distant(replica) ? " afar" : "");
-    }
-
     /** Shunned near means for all, shunned far for those of other zones. */
     private boolean open(Path path) {
         return allowed(path) && !path.link.near.shunned && (path.near || !path.link.far.shunned);
