--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -61,7 +61,7 @@
     /** Transactions a line should get before its idle connection closes: fewer seldom find one open. */
     private static final double REUSE = 2.5;
     /** Tables to hold each replica, so that load can shift between them; and the least lines of one. */
-    private static final double DEGREE = 4;
+    private static final double DEGREE = 8;
     private static final double LEAST_LINES = 8;
     /** Part of a place's lines that are near: crossing costs, but zones are not loaded alike. */
     private static final double NEAR_LINES = 0.75;
