--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -28,7 +28,7 @@
     private static final long GATHER = 10_000;
     /** Share of a line's weight: smaller changes are not sent (the design's tenth). */
     private static final double SKIP = 0.1;
-    /** Share of the channel's limit that ordinary batches may fill (the design's half). */
+    /** Share of the channel's limit that joins and ordinary batches may fill (the design's half). */
     private static final double CHANNEL_PART = 0.5;
     /** Seconds of the channel's usual pace that a batch's changed weights may use: all else matters more. */
     private static final double CHANGES_PART = 0.25;
@@ -59,15 +59,15 @@
     /** Demand that all requests in use share beside their own, so that each keeps a fair table. */
     private static final double LEAST_DEMAND = 0.02;
     /** Transactions a line should get before its idle connection closes: fewer seldom find one open. */
-    private static final double REUSE = 2.5;
-    /** Tables to hold each replica, so that load can shift between them; and the least lines of one. */
-    private static final double DEGREE = 8;
+    private static final double REUSE = 3.3;
+    /** Tables to hold each replica, so that load can shift between them; the least lines of one; and the
+     * part of them that is near, as crossing costs but zones are not loaded alike. */
+    private static final double DEGREE = 12;
     private static final double LEAST_LINES = 8;
-    /** Part of a place's lines that are near: crossing costs, but zones are not loaded alike. */
     private static final double NEAR_LINES = 0.75;
-    /** Times its demand that a place should reach in capacity: a few proxies may bring most of it. */
+    /** Times its demand that a place should reach in capacity, as a few proxies may bring most of it; times
+     * the lines wanted up to which the fleet is laid whole; and the part left at which a table is filled. */
     private static final double SPARE = 1.5;
-    /** Times the lines wanted up to which a fleet is laid whole; the part left that fills a table up. */
     private static final double WHOLE = 1.5;
     private static final double REFILL = 0.75;
     /** Tenths of a ms for which a gone replica is remembered: proxies may still join with old tables. */
@@ -113,10 +113,8 @@
     private static final double TRIAL = 0.15;
     /** Tenths of a ms beyond the longest transit after which an unanswered mark means a queue. */
     private static final long MARK_SLACK = 5_000;
-    /** Share of the channel's limit that a batch with drains may fill; the rest is for those who join. */
-    private static final double PRESSING_PART = 0.9;
-    /** Share of the channel's limit that those who join may fill. */
-    private static final double JOIN_PART = 0.5;
+    /** Share of the channel's limit, and of the messages', that drains may fill; the rest is a margin. */
+    private static final double PRESSING_PART = 0.8;
     /** Trying again only after proof that the first try never ran: safe for every class. */
     private static final int AGAIN = 1;
 
@@ -241,7 +239,7 @@
             }
             cost += filled + 2;
         }
-        if (queue() + cost + head + 1 > limit * JOIN_PART) {
+        if (queue() + cost + head + 1 > limit * CHANNEL_PART) {
             return false;
         }
         for (Request request : proxy.place.requests) {
@@ -268,7 +266,8 @@
                 replica.withdrawn = out;
                 replica.withdrawnAt = now;
                 orders.withdraw(replica.id, out);
-                channel.guess(out ? waiting.size() * (head + 1) * Math.min(1, lines / replicas.size()) : 0);
+                double holding = (out ? waiting : proxies).size() * Math.min(1, lines / replicas.size());
+                channel.guess(holding * (head + 1));
                 return true;
             }
         }
@@ -300,14 +299,11 @@
     /**
      * Deals each place its replicas. Where whole tables fit the channel and the connections, all get all.
      * Else a zone's proxies fall into several places, half the lines near and half far, dealt so that each
-     * replica is held about equally often, and more where demand needs it; what was dealt stays until it goes.
+     * replica is held about equally often, and more where demand needs it; what was dealt stays.
      */
     private void deal() {
         List<Replica> usable = replicas.values().stream().filter(Replica::usable).toList();
-        if (usable.isEmpty() || proxies.isEmpty()) {
-            return;
-        }
-        if (places.isEmpty()) {
+        if (places.isEmpty() && !usable.isEmpty() && !proxies.isEmpty() && classes > 0) {
             open(usable.size());
         }
         for (Place place : places) {
@@ -696,7 +692,7 @@
     private record Change(Request request, Path path, double to, double size) { }
 
     private void publish(Orders orders, boolean gathered) {
-        double most = Math.floor(number("messages.limit", 0) * (gathered ? MESSAGE_PART : 1));
+        double most = Math.floor(number("messages.limit", 0) * (gathered ? MESSAGE_PART : PRESSING_PART));
         double expired = now - number("messages.span", 0);
         double room = limit * PRESSING_PART - queue();
         double ordinary = room - limit * (PRESSING_PART - CHANNEL_PART);
@@ -714,17 +710,16 @@
         for (Change change : changes()) {
             Place place = change.request.place;
             double cost = place.bound * (place.sent == 0 ? 2 + head : 1);
-            boolean changed = change.path != null && change.to > 0 && change.path.published > 0;
-            boolean guard = change.path != null && change.to < change.path.published
-                    && (change.to == 0 || warmth(change.path.link) < 1);
-            double left = guard ? room : changed ? Math.min(weights, ordinary) : ordinary;
+            double old = change.path == null ? 0 : change.path.published;
+            boolean guard = change.to < old && (change.to == 0 || warmth(change.path.link) < 1);
+            double left = guard ? room : old > 0 ? Math.min(weights, ordinary) : ordinary;
             if (place.bound > 0 && place.full || cost > left) {
                 held |= guard;
                 continue;
             }
             room -= cost;
             ordinary -= cost;
-            weights -= changed ? cost : 0;
+            weights -= old > 0 && !guard ? cost : 0;
             place.sent++;
             if (change.path == null) {
                 change.request.sentLevel = change.to;
