Count what nobody has answered as waiting, so that a slow channel keeps its limit

Cause: the channel runs at less than half its usual pace for some seconds, which the answers to marks show, 1.0 to 1.7 s for a way of 0.1; reckoned by the usual pace, drains go on filling it. Told from stalled proxies by all proxies being late alike. Change: lines count as waiting until the proxy has answered the mark, but for those that are on the way by the mean. It bounds the queue whatever the pace; proxies that stand still hold ordinary differences back meanwhile.

--- a/src/main/java/rockshift/Channel.java
+++ b/src/main/java/rockshift/Channel.java
@@ -13,7 +13,7 @@
     private final double pace;
     private final List<Proxy> written = new ArrayList<>();
     private double queued;
-    private double overdue;
+    private double unanswered;
     private long at;
     private int serial;
 
@@ -32,6 +32,7 @@
         double all = lines + (proxy.lines == 0 ? head + 1 : 0);
         proxy.lines += all;
         queued += all;
+        unanswered += all;
     }
 
     /** Counts lines whose receivers are not known. */
@@ -61,18 +62,18 @@
         }
     }
 
-    /** Lines that wait: by the usual pace, or by marks unanswered for longer than that and the way take. */
-    double queue(long now, long way, Collection<Proxy> proxies) {
+    /** Lines that wait: by the usual pace, or as many as nobody has answered but for those on the way. */
+    double queue(long now, double way, Collection<Proxy> proxies) {
         if (now != at) {
             queued = Math.max(0, queued - (now - at) * pace);
             at = now;
-            overdue = 0;
+            unanswered = 0;
             for (Proxy proxy : proxies) {
                 for (long[] mark : proxy.marks) {
-                    overdue += now - mark[1] > way + queued / pace ? mark[2] : 0;
+                    unanswered += mark[2];
                 }
             }
         }
-        return Math.max(queued, overdue);
+        return Math.max(queued, unanswered - way * pace);
     }
 }
--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -111,8 +111,6 @@
     /** Tenths of a ms: the return after a rest, over which the weight grows from TRIAL to full. */
     private static final long RETURN = 50_000;
     private static final double TRIAL = 0.15;
-    /** Tenths of a ms beyond the longest transit after which an unanswered mark means a queue. */
-    private static final long MARK_SLACK = 5_000;
     /** Share of the channel's limit, and of the messages', that drains may fill; the rest is a margin. */
     private static final double PRESSING_PART = 0.8;
     /** Trying again only after proof that the first try never ran: safe for every class. */
@@ -793,6 +791,6 @@
     }
 
     private double queue() {
-        return channel.queue(now, (long) number("transit.longest", 0) + MARK_SLACK, proxies.values());
+        return channel.queue(now, number("transit", 0), proxies.values());
     }
 }
