--- a/src/main/java/rockshift/Known.java
+++ b/src/main/java/rockshift/Known.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.IntStream;
 
 /** What one governor knows: inputs write down what they tell, and {@link Logic} decides what follows. */
 abstract class Known {
@@ -28,6 +29,8 @@
     final double[] came;
     double tried;
     double heardTime;
+    /** The shortest promised time: answers that take longer are late. */
+    final double promised;
 
     Known(long now, Map<String, String> terms) {
         this.now = now;
@@ -36,6 +39,8 @@
         // Sites with slices hand out tables of their own: none is laid there.
         classes = number("slices", 0) > 0 ? 0 : (int) number("classes", 0);
         came = new double[classes];
+        promised = IntStream.range(0, classes)
+                .mapToDouble(k -> number("class." + k + ".promised.time", Double.MAX_VALUE)).min().orElse(0);
     }
 
     final double number(String name, double otherwise) {
@@ -94,14 +99,14 @@
         }
     }
 
-    /** What the proxies of a zone met at a replica over a span, and its load if an answer told it. */
-    public void heard(long now, String zone, long id, int count, int failed, long span, Double busy) {
+    /** What the proxies of a zone met at a replica over a span: the mean time of answers, and its load if told. */
+    public void heard(long now, String zone, long id, int count, int failed, long took, long span, Double busy) {
         this.now = now;
         Replica replica = replicas.get(id);
         if (replica != null) {
             tried += count;
             heardTime = heardTime == 0 ? span : heardTime;
-            replica.heard(zone, count, failed, busy);
+            replica.heard(zone, count, failed, took > promised ? count - failed : 0, busy);
         }
     }
 
--- a/src/main/java/rockshift/Replica.java
+++ b/src/main/java/rockshift/Replica.java
@@ -50,8 +50,8 @@
         return all;
     }
 
-    void heard(String from, int count, int failed, Double load) {
-        view(from).add(count, failed, load == null ? 0 : count * load);
+    void heard(String from, int count, int failed, int late, Double load) {
+        view(from).add(count, failed + late, load == null ? 0 : count * load);
         answered += Math.max(0, count - failed);
         busySum += load == null ? 0 : count * load;
         busyTries += load == null ? 0 : count;
--- a/src/main/java/rockshift/drill/Drill.java
+++ b/src/main/java/rockshift/drill/Drill.java
@@ -141,13 +141,13 @@
             }
             case "LEFT" -> logic.left(now, event.small("a proxy"));
             case "HEARD" -> {
-                event.tenths("a mean time");
+                long took = event.tenths("a mean time");
                 String zone = event.text("a zone");
                 long replica = event.whole("a replica");
                 int lost = event.small("lost tries");
                 int tries = event.small("tries");
                 long span = event.tenths("a span");
-                logic.heard(now, zone, replica, tries, lost, span, event.load("a load report").get("util"));
+                logic.heard(now, zone, replica, tries, lost, took, span, event.load("a load report").get("util"));
             }
             case "PROXY_STATS" -> {
                 event.whole("lost transactions");
--- a/src/test/java/rockshift/FakeHost.java
+++ b/src/test/java/rockshift/FakeHost.java
@@ -68,7 +68,8 @@
     FakeHost second(Report... reports) {
         int tries = 0;
         for (Report report : reports) {
-            logic.heard(now, report.replica % 2 == 1 ? "east" : "west", report.replica, report.tries, report.failed, SECOND, report.busy);
+            logic.heard(now, report.replica % 2 == 1 ? "east" : "west", report.replica, report.tries, report.failed,
+                    report.took, SECOND, report.busy);
             tries += report.tries;
         }
         logic.usage(now, 0, "cut", tries / 2, SECOND);
@@ -76,7 +77,11 @@
         return pass(1);
     }
 
-    record Report(long replica, int tries, int failed, Double busy) { }
+    record Report(long replica, int tries, int failed, Double busy, long took) {
+        Report(long replica, int tries, int failed, Double busy) {
+            this(replica, tries, failed, busy, 2_000);
+        }
+    }
 
     double share(int table, long replica) {
         return tables.get(table).getOrDefault(replica, 0.0)
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -110,7 +110,7 @@
         FakeHost host = new FakeHost().fleet(6);
         host.second(good(1, 20, 0.5), good(3, 20, 0.5), good(5, 20, 0.5), good(2, 20, 0.5), good(4, 20, 0.5),
                 good(6, 20, 0.5));
-        host.logic.heard(host.now, "east", 2, 20, 20, SECOND, null);
+        host.logic.heard(host.now, "east", 2, 20, 20, 2_000, SECOND, null);
         host.pass(1);
         assertThat(host.logged).anyMatch(line -> line.startsWith("replica 2 shunned by far"));
         assertThat(host.share(0, 2)).isLessThan(0.01);
@@ -160,7 +160,7 @@
         FakeHost host = new FakeHost("price.crossing", "0.06").fleet(8);
         for (int i = 0; i < 30; i++) {
             for (long replica = 1; replica <= 8; replica++) {
-                host.logic.heard(host.now, "east", replica, 10, 0, SECOND, 0.5);
+                host.logic.heard(host.now, "east", replica, 10, 0, 2_000, SECOND, 0.5);
             }
             host.logic.usage(host.now, 1, "cut", 78, SECOND);
             host.logic.usage(host.now, 0, "cut", 2, SECOND);
@@ -287,8 +287,8 @@
             int letIn = (int) Math.round(firstTries * level);
             int came = (int) Math.round(firstTries * (1 + 2 * (1 - level)));
             double load = Math.min(1, letIn / 100.0);
-            host.logic.heard(host.now, "east", 1, letIn / 2, 0, SECOND, load);
-            host.logic.heard(host.now, "west", 2, letIn / 2, 0, SECOND, load);
+            host.logic.heard(host.now, "east", 1, letIn / 2, 0, 2_000, SECOND, load);
+            host.logic.heard(host.now, "west", 2, letIn / 2, 0, 2_000, SECOND, load);
             host.logic.usage(host.now, 0, "cut", came / 2, SECOND);
             host.logic.usage(host.now, 1, "cut", came / 2, SECOND);
             host.pass(1);
