--- a/src/main/java/rockshift/Replica.java
+++ b/src/main/java/rockshift/Replica.java
@@ -51,7 +51,7 @@
     }
 
     void heard(String from, int count, int failed, int late, Double load) {
-        view(from).add(count, failed + late, load == null ? 0 : count * load);
+        view(from).add(count, failed + (from.equals(zone) ? 0 : late), load == null ? 0 : count * load);
         answered += Math.max(0, count - failed);
         busySum += load == null ? 0 : count * load;
         busyTries += load == null ? 0 : count;
