--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -407,8 +407,9 @@
      * is left to the capacity estimate. A hung one tells no load, and counts as idle.
      */
     private boolean failing(View view) {
+        double late = fleetLoad < OVERWORKED ? view.late : 0;
         return view.tries >= FEW_TRIES && view.busy <= OVERWORKED * view.tries
-                && view.failureShare() > 2 * medianFailures + EXCESS_FAILURES;
+                && (view.lost + late) / view.tries > 2 * medianFailures + EXCESS_FAILURES;
     }
 
     private void shun(Replica replica, View view) {
--- a/src/main/java/rockshift/Replica.java
+++ b/src/main/java/rockshift/Replica.java
@@ -46,12 +46,12 @@
 
     View seen() {
         View all = new View();
-        all.add(near.tries + far.tries, near.lost + far.lost, near.busy + far.busy);
+        all.add(near.tries + far.tries, near.lost + far.lost, far.late, near.busy + far.busy);
         return all;
     }
 
     void heard(String from, int count, int failed, int late, Double load) {
-        view(from).add(count, failed + (from.equals(zone) ? 0 : late), load == null ? 0 : count * load);
+        view(from).add(count, failed, from.equals(zone) ? 0 : late, load == null ? 0 : count * load);
         answered += Math.max(0, count - failed);
         busySum += load == null ? 0 : count * load;
         busyTries += load == null ? 0 : count;
--- a/src/main/java/rockshift/View.java
+++ b/src/main/java/rockshift/View.java
@@ -4,14 +4,17 @@
 final class View {
     double tries;
     double lost;
+    /** Answers past the promised time, where they came from afar. */
+    double late;
     double busy;
     boolean shunned;
     long rest;
     long returned = Long.MIN_VALUE / 2;
 
-    void add(double count, double failed, double load) {
+    void add(double count, double failed, double slow, double load) {
         tries += count;
         lost += failed;
+        late += slow;
         busy += load;
     }
 
@@ -20,13 +23,14 @@
     }
 
     void forget() {
-        tries = lost = busy = 0;
+        tries = lost = late = busy = 0;
         shunned = false;
     }
 
     void fade(double kept) {
         tries *= kept;
         lost *= kept;
+        late *= kept;
         busy *= kept;
     }
 }
