--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -50,6 +50,8 @@
     private static final double THETA = 0.07;
     /** Mean lines for the whole price of crossing zones: what a path that crosses bears in the solve. */
     private static final double NEAR = 3;
+    /** Mean lines that a path bears beside, where all answers come late from afar: slow ways are left. */
+    private static final double LATE = 0.5;
     /** Iterations a report round (the design's 5). */
     private static final int ITERATIONS = 5;
     /** Bisection steps: enough for 12 digits. */
@@ -407,9 +409,8 @@
      * is left to the capacity estimate. A hung one tells no load, and counts as idle.
      */
     private boolean failing(View view) {
-        double late = fleetLoad < OVERWORKED ? view.late : 0;
         return view.tries >= FEW_TRIES && view.busy <= OVERWORKED * view.tries
-                && (view.lost + late) / view.tries > 2 * medianFailures + EXCESS_FAILURES;
+                && view.failureShare() > 2 * medianFailures + EXCESS_FAILURES;
     }
 
     private void shun(Replica replica, View view) {
@@ -611,21 +612,22 @@
         }
         // The switching cost and the cost of crossing, in mean lines moved an iteration.
         double line = 1.0 / Math.max(1, links.stream().mapToInt(link -> link.used.size()).sum());
-        double cross = NEAR * number("price.crossing", 0) * line;
+        double cross = NEAR * number("price.crossing", 0);
         for (Request request : requests) {
-            root(request, penalty, THETA * line, cross);
+            root(request, penalty, THETA * line, cross, line);
         }
     }
 
     /** The root search for the class total, and the request's copies: the switching cost holds them. */
-    private void root(Request request, double penalty, double theta, double cross) {
+    private void root(Request request, double penalty, double theta, double cross, double line) {
         List<Path> open = request.paths.values().stream().filter(path -> path.open).toList();
         double rate = request.total / request.scale;
         double[] current = open.stream().mapToDouble(path -> path.published * rate).toArray();
         double[] move = new double[current.length];
         for (int i = 0; i < move.length; i++) {
             Path path = open.get(i);
-            move[i] = path.mean - penalty * path.dual - (path.near ? 0 : cross) - current[i];
+            double late = path.link.far.tries > 0 ? LATE * path.link.far.late / path.link.far.tries : 0;
+            move[i] = path.mean - penalty * path.dual - (path.near ? 0 : (cross + late) * line) - current[i];
         }
         double high = 2;
         double low = 0;
