Guard cold replicas where proxies leave their best line out; fill places by what is well

Cause: half of the fleet ages and dies, tables lean with up to 0.96 on one replica, proxies leave it out after three failures of their own, and the cold line, 0.02 of the table, is then most of what remains. Told from a hot caller by the callers: 3 to 20 a second each; from a stale table by the lines, all sent after the restart. It also holds for whole tables in small fleets; it slows warming a little.

--- a/src/main/java/rockshift/Channel.java
+++ b/src/main/java/rockshift/Channel.java
@@ -63,12 +63,13 @@
     }
 
     /** Lines that wait: by the usual pace, or as many as nobody has answered but for those on the way. */
-    double queue(long now, double way, Collection<Proxy> proxies) {
+    double queue(long now, double way, long remembered, Collection<Proxy> proxies) {
         if (now != at) {
             queued = Math.max(0, queued - (now - at) * pace);
             at = now;
             unanswered = 0;
             for (Proxy proxy : proxies) {
+                proxy.marks.removeIf(mark -> mark[1] < now - remembered);
                 for (long[] mark : proxy.marks) {
                     unanswered += mark[2];
                 }
--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -12,7 +12,6 @@
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 
 /**
  * All decisions of one governor. The host calls an input method for each thing it learns, then
@@ -72,7 +71,7 @@
     private static final double SPARE = 1.5;
     private static final double WHOLE = 1.5;
     private static final double REFILL = 0.75;
-    /** Tenths of a ms for which a gone replica is remembered: proxies may still join with old tables. */
+    /** Tenths of a ms for which gone replicas are known, as proxies join with old tables; and open marks. */
     private static final long REMEMBERED = 600_000;
     /** Tries: fewer say nothing about a replica. */
     private static final double FEW_TRIES = 3;
@@ -171,10 +170,6 @@
         dues.add(new Due(now, true, 0, false));
     }
 
-    private double benefit(int k) {
-        return number("class." + k + ".benefit", 1);
-    }
-
     // ---- decisions ------------------------------------------------------------------------------
 
     /** Takes one decision, if there is one to take now. */
@@ -306,16 +301,16 @@
         if (places.isEmpty() && !usable.isEmpty() && !proxies.isEmpty() && classes > 0) {
             open(usable.size());
         }
+        List<Replica> well = usable.stream().filter(replica -> !replica.near.shunned).toList();
         for (Place place : places) {
             replicas.values().stream().filter(replica -> !replica.usable()).forEach(place::remove);
-            double has = place.members.size();
+            double has = place.members.values().stream().filter(replica -> !replica.near.shunned).count();
             Request any = place.requests.get(0);
             double demand = place.requests.stream().mapToDouble(request -> request.weight).sum();
             double needs = Math.max(lines, any.utopic > 0 ? has * SPARE * demand / any.utopic : 0);
-            if (has < REFILL * Math.min(needs, usable.size())) {
-                fill(place, usable, true, has + (needs - has) * NEAR_LINES);
-                fill(place, usable, false, needs);
-                fill(place, usable, true, needs);
+            if (has < REFILL * Math.min(needs, well.size())) {
+                fill(place, well, true, Math.ceil((needs - has) * NEAR_LINES));
+                fill(place, well, false, Math.floor((needs - has) * (1 - NEAR_LINES)));
             }
         }
         double each = places.size() * lines / usable.size();
@@ -331,12 +326,12 @@
         }
     }
 
-    /** Adds those that the fewest places hold, of its zone or of the others, up to so many lines. */
-    private void fill(Place place, List<Replica> usable, boolean near, double upTo) {
-        usable.stream().filter(replica -> place.lacks(replica, near))
+    /** Adds so many of those that the fewest places hold, of its zone or of the others. */
+    private void fill(Place place, List<Replica> well, boolean near, double more) {
+        well.stream().filter(replica -> place.lacks(replica, near))
                 .sorted(Comparator.comparingInt((Replica other) -> near ? other.heldNear : other.heldFar)
                         .thenComparingLong(replica -> order(place, replica)))
-                .limit((long) Math.max(0, upTo - place.members.size())).forEach(place::add);
+                .limit((long) Math.max(0, more)).forEach(place::add);
     }
 
     /** Adds a replica to the shortest tables of its zone or the others. */
@@ -568,7 +563,7 @@
         for (int k = 0; k < classes; k++) {
             each[k] = came[k] / flowTime / (1 + repeats * (1 - letIn[k]));
             demand += each[k];
-            benefits += each[k] * benefit(k);
+            benefits += each[k] * number("class." + k + ".benefit", 1);
         }
         // In a jam answers fall though the capacity is there, and refusing by them would refuse nearly all:
         // the rate of calmer times holds the room up. Too high where much capacity is really lost.
@@ -587,7 +582,8 @@
         int lesser = -1;
         double least = 1 / demand;
         for (int k = 0; k < classes; k++) {
-            double loss = (1 - ofWorst) * benefit(k) / benefits + ofWorst / each[k];
+            double benefit = number("class." + k + ".benefit", 1);
+            double loss = (1 - ofWorst) * benefit / benefits + ofWorst / each[k];
             lesser = loss < least ? k : lesser;
             least = loss < least ? loss : least;
         }
@@ -772,21 +768,24 @@
      */
     private void target(Request request) {
         double sum = 0;
+        double top = 0;
         double allowed = 0;
         for (Path path : request.paths.values()) {
             sum += allowed(path) ? path.z : 0;
+            top = allowed(path) && warmth(path.link) == 1 ? Math.max(top, path.z) : top;
             allowed += allowed(path) ? 1 : 0;
         }
+        double beside = sum > 0 ? 1 - top / sum : 1;
         double standing = 0;
         double targets = 0;
         for (Path path : request.paths.values()) {
             double part = sum > 0 ? Math.max(FLOOR / allowed, path.z / sum)
                     : path.published > 0 ? path.published / request.scale : 1 / allowed;
-            // Guards a cold replica when one place asks for far more than it reported, as if its proxies
-            // have just come back: no table leans on it much more than the fleet does.
-            double most = warmth(path.link) == 1 || request.utopic == 0 ? 2
-                    : COLD_SPREAD * path.link.capacity / request.utopic + FLOOR / allowed;
-            path.target = part > most && part < 1 ? most * (1 - part) / (1 - most) : part;
+            // Guards a cold replica when one place asks for far more than it reported, or its proxies leave
+            // their best line out as they failed there: no table leans on it much more than the fleet does.
+            double most = COLD_SPREAD * path.link.capacity / request.utopic + FLOOR / allowed;
+            double capped = part > most ? most * (1 - part) / (1 - most) : part;
+            path.target = warmth(path.link) < 1 ? capped * Math.max(FLOOR, beside) : part;
             standing += allowed(path) ? path.published : 0;
             targets += allowed(path) && path.published > 0 ? path.target : 0;
         }
@@ -794,6 +793,6 @@
     }
 
     private double queue() {
-        return channel.queue(now, number("transit", 0), proxies.values());
+        return channel.queue(now, number("transit", 0), REMEMBERED, proxies.values());
     }
 }
--- a/src/test/java/rockshift/FakeHost.java
+++ b/src/test/java/rockshift/FakeHost.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /** A host that carries orders out on paper: what tables, levels and messages there would be. */
 final class FakeHost implements Orders {
@@ -17,6 +18,8 @@
     final Map<Integer, Double> levels = new HashMap<>();
     final List<String> said = new ArrayList<>();
     final List<String> logged = new ArrayList<>();
+    final TreeSet<Integer> bound = new TreeSet<>();
+    private int marked;
     final Logic logic;
     long now = 100 * SECOND;
 
@@ -58,6 +61,7 @@
     FakeHost pass(double seconds) {
         for (long end = now + (long) (seconds * SECOND); now < end;) {
             now += SECOND / 10;
+            bound.forEach(proxy -> logic.caughtUp(now, proxy, marked));
             logic.woken(now);
             turn();
         }
@@ -102,6 +106,7 @@
     @Override
     public void bind(int table, int proxy, int classes) {
         said.add("bind " + table + " " + proxy + " " + classes);
+        bound.add(proxy);
     }
 
     @Override
@@ -128,6 +133,7 @@
     @Override
     public void mark(int serial, boolean everyone) {
         said.add("mark " + serial);
+        marked = serial;
     }
 
     @Override
