--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -304,7 +304,7 @@
         List<Replica> well = usable.stream().filter(replica -> !replica.near.shunned).toList();
         for (Place place : places) {
             replicas.values().stream().filter(replica -> !replica.usable()).forEach(place::remove);
-            double has = place.members.values().stream().filter(replica -> !replica.near.shunned).count();
+            double has = place.members.size();
             Request any = place.requests.get(0);
             double demand = place.requests.stream().mapToDouble(request -> request.weight).sum();
             double needs = Math.max(lines, any.utopic > 0 ? has * SPARE * demand / any.utopic : 0);
