--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -29,8 +29,8 @@
     private static final double SKIP = 0.1;
     /** Share of the channel's limit that joins and ordinary batches may fill (the design's half). */
     private static final double CHANNEL_PART = 0.5;
-    /** Seconds of the channel's usual pace that a batch's changed weights may use: all else matters more. */
-    private static final double CHANGES_PART = 0.25;
+    /** Share of the result that changed weights may cost in orders: what all else that is ordered leaves. */
+    private static final double CHANGES_WORTH = 0.03;
     /** Share of the message limit left to ordinary batches; drains and joins need the rest. */
     private static final double MESSAGE_PART = 0.6;
     /** Tenths of a ms: memory of the capacity estimates (the design starts at 10 s). */
@@ -693,7 +693,8 @@
         double expired = now - number("messages.span", 0);
         double room = limit * PRESSING_PART - queue();
         double ordinary = room - limit * (PRESSING_PART - CHANNEL_PART);
-        double weights = gathered ? CHANGES_PART * number("channel.pace", Double.MAX_VALUE) : 0;
+        double share = Math.min(CHANNEL_PART, CHANGES_WORTH / number("price.orders", 0));
+        double weights = gathered ? share * number("channel.pace", Double.MAX_VALUE) : 0;
         for (Place place : places) {
             place.sent = 0;
             place.full = false;
