--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -273,8 +273,7 @@
     private void batch(Orders orders) {
         // Pressing ones do not put the ordinary one off: a list that keeps changing would for ever.
         boolean ordinary = dues.removeIf(due -> due.batch && due.at <= now);
-        urgent = false;
-        held = false;
+        urgent = held = false;
         deal();
         fade();
         judge();
@@ -301,16 +300,16 @@
         if (places.isEmpty() && !usable.isEmpty() && !proxies.isEmpty() && classes > 0) {
             open(usable.size());
         }
-        List<Replica> well = usable.stream().filter(replica -> !replica.near.shunned).toList();
         for (Place place : places) {
             replicas.values().stream().filter(replica -> !replica.usable()).forEach(place::remove);
             double has = place.members.size();
             Request any = place.requests.get(0);
             double demand = place.requests.stream().mapToDouble(request -> request.weight).sum();
-            double needs = Math.max(lines, any.utopic > 0 ? has * SPARE * demand / any.utopic : 0);
-            if (has < REFILL * Math.min(needs, well.size())) {
-                fill(place, well, true, Math.ceil((needs - has) * NEAR_LINES));
-                fill(place, well, false, Math.floor((needs - has) * (1 - NEAR_LINES)));
+            boolean known = any.utopic > 0 && waiting.isEmpty();
+            double needs = Math.max(lines, known ? has * SPARE * demand / any.utopic : 0);
+            if (has < REFILL * Math.min(needs, usable.size())) {
+                fill(place, usable, true, Math.ceil((needs - has) * NEAR_LINES));
+                fill(place, usable, false, Math.floor((needs - has) * (1 - NEAR_LINES)));
             }
         }
         double each = places.size() * lines / usable.size();
@@ -327,8 +326,8 @@
     }
 
     /** Adds so many of those that the fewest places hold, of its zone or of the others. */
-    private void fill(Place place, List<Replica> well, boolean near, double more) {
-        well.stream().filter(replica -> place.lacks(replica, near))
+    private void fill(Place place, List<Replica> usable, boolean near, double more) {
+        usable.stream().filter(replica -> place.lacks(replica, near) && !replica.near.shunned)
                 .sorted(Comparator.comparingInt((Replica other) -> near ? other.heldNear : other.heldFar)
                         .thenComparingLong(replica -> order(place, replica)))
                 .limit((long) Math.max(0, more)).forEach(place::add);
--- a/src/test/java/rockshift/FakeHost.java
+++ b/src/test/java/rockshift/FakeHost.java
@@ -19,7 +19,9 @@
     final List<String> said = new ArrayList<>();
     final List<String> logged = new ArrayList<>();
     final TreeSet<Integer> bound = new TreeSet<>();
+    private final Map<Integer, Integer> binds = new HashMap<>();
     private int marked;
+    boolean answering = true;
     final Logic logic;
     long now = 100 * SECOND;
 
@@ -40,16 +42,27 @@
 
     /** Warm replicas 1 to count, odd ones in the east, and a proxy in each hall. */
     FakeHost fleet(int count) {
+        return crowd(count, 2, 10);
+    }
+
+    /** The same fleet with so many proxies, by turns in the east and the west. */
+    FakeHost crowd(int count, int joined, double usualRate) {
         List<Listed> all = new ArrayList<>();
         for (int i = 1; i <= count; i++) {
             all.add(ready(i, i % 2 == 1 ? "east" : "west", 0));
         }
         logic.listed(now, all, false);
-        logic.joined(now, 0, "east", 10);
-        logic.joined(now, 1, "west", 10);
+        for (int i = 0; i < joined; i++) {
+            logic.joined(now, i, i % 2 == 0 ? "east" : "west", usualRate);
+        }
         return turn();
     }
 
+    /** The table that a proxy was put on. */
+    int tableOf(int proxy) {
+        return binds.get(proxy);
+    }
+
     FakeHost turn() {
         said.clear();
         while (logic.decide(this)) {
@@ -61,7 +74,9 @@
     FakeHost pass(double seconds) {
         for (long end = now + (long) (seconds * SECOND); now < end;) {
             now += SECOND / 10;
-            bound.forEach(proxy -> logic.caughtUp(now, proxy, marked));
+            if (answering) {
+                bound.forEach(proxy -> logic.caughtUp(now, proxy, marked));
+            }
             logic.woken(now);
             turn();
         }
@@ -72,8 +87,8 @@
     FakeHost second(Report... reports) {
         int tries = 0;
         for (Report report : reports) {
-            logic.heard(now, report.replica % 2 == 1 ? "east" : "west", report.replica, report.tries, report.failed,
-                    report.took, SECOND, report.busy);
+            String zone = report.replica % 2 == 1 ? "east" : "west";
+            logic.heard(now, zone, report.replica, report.tries, report.failed, report.took, SECOND, report.busy);
             tries += report.tries;
         }
         logic.usage(now, 0, "cut", tries / 2, SECOND);
@@ -107,6 +122,7 @@
     public void bind(int table, int proxy, int classes) {
         said.add("bind " + table + " " + proxy + " " + classes);
         bound.add(proxy);
+        binds.put(proxy, table);
     }
 
     @Override
@@ -117,7 +133,7 @@
 
     @Override
     public void withdraw(long replica, boolean out) {
-        said.add("withdraw " + replica);
+        said.add("withdraw " + replica + " " + out);
     }
 
     @Override
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -5,7 +5,9 @@
 import static rockshift.FakeHost.SECOND;
 import static rockshift.FakeHost.ready;
 
+import java.util.Arrays;
 import java.util.List;
+import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 import rockshift.FakeHost.Report;
 
@@ -225,6 +227,125 @@
         assertThat(host.said).contains("line 0 2");
     }
 
+    // ---- a fleet whose whole tables do not fit ----
+
+    private static FakeHost large(String... terms) {
+        String[] usual = {"proxies", "60", "idle.close", "150000", "channel.limit", "1500", "channel.pace", "1000"};
+        String[] all = Arrays.copyOf(usual, usual.length + terms.length);
+        System.arraycopy(terms, 0, all, usual.length, terms.length);
+        return new FakeHost(all).crowd(60, 60, 3);
+    }
+
+    /** Saskatoon-main-later, every day: whole tables under all who join overfilled the channel. */
+    @Test
+    void eachPlaceHasItsPartAndTheJoinsFillHalfTheChannel() {
+        FakeHost host = large();
+        int lines = host.tables.get(host.tableOf(0)).size();
+        assertThat(lines).isBetween(8, 20);
+        assertThat(host.bound.size() * (lines + 3)).isBetween(500, 750);
+        host.pass(3);
+        assertThat(host.bound).hasSize(60);
+        TreeSet<Long> held = new TreeSet<>();
+        host.bound.forEach(proxy -> held.addAll(host.tables.get(host.tableOf(proxy)).keySet()));
+        assertThat(held).as("every replica is held").hasSize(60);
+    }
+
+    /** A governor's restart or another's death: who comes over finds the replicas that it has connections to. */
+    @Test
+    void allGovernorsDealAlike() {
+        FakeHost one = large("governor", "0");
+        FakeHost other = large("governor", "1");
+        assertThat(one.tables.get(one.tableOf(0)).keySet()).isEqualTo(other.tables.get(other.tableOf(0)).keySet());
+    }
+
+    /** Regina-south-later, big-1: drains waited behind joins, and standing tables went on naming who had left. */
+    @Test
+    void whoLeavesIsShutOutOfWhatWaitingProxiesHold() {
+        FakeHost host = large();
+        host.logic.listed(host.now, List.of(new Listed(7, "east", "plain", Listed.Health.GONE, 0)), true);
+        assertThat(host.turn().said).contains("withdraw 7 true");
+        host.pass(3);
+        host.logic.listed(host.now, List.of(ready(7, "east", host.now)), true);
+        assertThat(host.turn().said).contains("withdraw 7 false");
+    }
+
+    /** Hunt at saskatoon-main-later: one caller brought a tenth of all traffic to a table of sixteen lines. */
+    @Test
+    void aPlaceWhoseDemandOutgrowsItsReplicasIsDealtMore() {
+        FakeHost host = large().pass(3);
+        int before = host.tables.get(host.tableOf(0)).size();
+        for (int i = 0; i < 8; i++) {
+            for (long replica = 1; replica <= 60; replica++) {
+                host.logic.heard(host.now, "east", replica, 10, 0, 2_000, SECOND, 0.5);
+            }
+            host.logic.usage(host.now, 0, "cut", 400, SECOND);
+            host.pass(1);
+        }
+        assertThat(host.tables.get(host.tableOf(0)).size()).isGreaterThan(2 * before);
+    }
+
+    /** Deploys at full size: each removal changed the sum, and every other line was sent anew for it. */
+    @Test
+    void whatStaysKeepsItsLinesWhenOthersGo() {
+        FakeHost host = new FakeHost().fleet(8).pass(2);
+        host.logic.listed(host.now, List.of(new Listed(2, "west", "plain", Listed.Health.GONE, 0)), true);
+        assertThat(host.turn().said).contains("line 0 2").doesNotContain("line 0 1");
+        for (int i = 0; i < 3; i++) {
+            assertThat(host.pass(1).said).noneMatch(order -> order.startsWith("line"));
+        }
+    }
+
+    /** Ageing at saskatoon-main-later: proxies left the one good replica out, and the cold one got the rest. */
+    @Test
+    void aColdLineDoesNotTakeThePlaceOfABestOneLeftOut() {
+        FakeHost host = new FakeHost().fleet(12);
+        for (int i = 0; i < 6; i++) {
+            Report[] reports = new Report[12];
+            Arrays.setAll(reports, r -> new Report(r + 1, 10, r < 7 ? 0 : 10, r < 7 ? 0.5 : null));
+            reports[0] = good(1, 300, 0.5);
+            host.second(reports);
+        }
+        host.logic.listed(host.now, List.of(ready(3, "east", host.now)), true);
+        host.pass(1);
+        double withoutTheBest = host.share(0, 3) / (1 - host.share(0, 1));
+        assertThat(withoutTheBest).isLessThan(0.1);
+    }
+
+    /** Winnipeg-west-later, slow links: what crosses halls comes late, while each hall could serve its own. */
+    @Test
+    void pathsWhoseAnswersComeLateFromAfarAreUsedLess() {
+        FakeHost host = new FakeHost("class.0.promised.time", "10000").fleet(4);
+        for (int i = 0; i < 30; i++) {
+            for (long replica = 1; replica <= 4; replica++) {
+                host.logic.heard(host.now, "east", replica, 20, 0, replica % 2 == 1 ? 2_000 : 15_000, SECOND, 0.5);
+                host.logic.heard(host.now, "west", replica, 20, 0, replica % 2 == 0 ? 2_000 : 15_000, SECOND, 0.5);
+            }
+            host.logic.usage(host.now, 0, "cut", 80, SECOND);
+            host.logic.usage(host.now, 1, "cut", 80, SECOND);
+            host.pass(1);
+        }
+        assertThat(host.share(0, 1) + host.share(0, 3)).isGreaterThan(0.8);
+        assertThat(host.share(1, 2) + host.share(1, 4)).isGreaterThan(0.8);
+    }
+
+    /** Incident i24d7d5: the channel ran at less than half its pace, and drains went on filling it. */
+    @Test
+    void whatNobodyAnsweredCountsAsWaiting() {
+        FakeHost host = new FakeHost("channel.limit", "120", "channel.pace", "1000").fleet(20);
+        host.answering = false;
+        int lines = 2 * (20 + 2 + 3 + 1);
+        for (long replica = 1; replica < 20; replica++) {
+            host.logic.listed(host.now, List.of(new Listed(replica, replica % 2 == 1 ? "east" : "west", "plain",
+                    Listed.Health.GONE, 0)), true);
+            host.pass(0.5);
+            lines += (int) host.said.stream().filter(order -> order.startsWith("line")).count();
+        }
+        assertThat(lines).isLessThanOrEqualTo(120);
+        host.answering = true;
+        host.pass(3);
+        assertThat(host.tables.get(0)).containsOnlyKeys(20L);
+    }
+
     // ---- levels ----
 
     private static FakeHost overworked(FakeHost host) {
