Shun from a third above twice the median, so that dear connections shun nobody

Where new connections fail, 10 to 20% of the tries fail at nearly every replica for reasons that are not its own. It could keep a replica that fails a third of its tries in the tables a little longer.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -76,7 +76,7 @@
     /** Tries: fewer say nothing about a replica. */
     private static final double FEW_TRIES = 3;
     /** Share of failures beside twice the median that shuns a replica: what all suffer shuns nobody. */
-    private static final double EXCESS_FAILURES = 0.2;
+    private static final double EXCESS_FAILURES = 0.35;
     /** Load above which failures are put down to too much work. */
     private static final double OVERWORKED = 0.8;
     /** Tenths of a ms: memory of what came and was tried; two to four report periods. */
