--- a/src/main/java/rockshift/Known.java
+++ b/src/main/java/rockshift/Known.java
@@ -99,8 +99,9 @@
         }
     }
 
-    /** What the proxies of a zone met at a replica over a span: the mean time of answers, and its load if told. */
-    public void heard(long now, String zone, long id, int count, int failed, long took, long span, Double busy) {
+    /** What proxies of a zone met at a replica over a span, the mean time of answers, and its load if told. */
+    public void heard(long now, String zone, long id, int count, int failed, long took, long span,
+            Double busy) {
         this.now = now;
         Replica replica = replicas.get(id);
         if (replica != null) {
--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -31,8 +31,9 @@
     private static final double CHANNEL_PART = 0.5;
     /** Share of the result that changed weights may cost in orders: what all else that is ordered leaves. */
     private static final double CHANGES_WORTH = 0.03;
-    /** Share of the message limit left to ordinary batches; drains and joins need the rest. */
+    /** Shares of the message limit left to ordinary batches and to all but joins. */
     private static final double MESSAGE_PART = 0.6;
+    private static final double MOST_MESSAGES = 0.8;
     /** Tenths of a ms: memory of the capacity estimates (the design starts at 10 s). */
     private static final double CAPACITY_MEMORY = 80_000;
     /** Answers: a replica heard of less leans on the mean of its kind. */
@@ -61,8 +62,7 @@
     private static final double LEAST_DEMAND = 0.02;
     /** Transactions a line should get before its idle connection closes: fewer seldom find one open. */
     private static final double REUSE = 3.3;
-    /** Tables to hold each replica, so that load can shift between them; the least lines of one; and the
-     * part of them that is near, as crossing costs but zones are not loaded alike. */
+    /** Tables to hold each replica, so that load can shift; least lines of one; the part of them near. */
     private static final double DEGREE = 12;
     private static final double LEAST_LINES = 8;
     private static final double NEAR_LINES = 0.75;
@@ -112,8 +112,8 @@
     /** Tenths of a ms: the return after a rest, over which the weight grows from TRIAL to full. */
     private static final long RETURN = 50_000;
     private static final double TRIAL = 0.15;
-    /** Share of the channel's limit, and of the messages', that drains may fill; the rest is a margin. */
-    private static final double PRESSING_PART = 0.8;
+    /** Share of the channel's limit that drains may fill: the rest is a margin for a channel that is slow. */
+    private static final double PRESSING_PART = 0.6;
     /** Trying again only after proof that the first try never ran: safe for every class. */
     private static final int AGAIN = 1;
 
@@ -688,7 +688,7 @@
     private record Change(Request request, Path path, double to, double size) { }
 
     private void publish(Orders orders, boolean gathered) {
-        double most = Math.floor(number("messages.limit", 0) * (gathered ? MESSAGE_PART : PRESSING_PART));
+        double most = Math.floor(number("messages.limit", 0) * (gathered ? MESSAGE_PART : MOST_MESSAGES));
         double expired = now - number("messages.span", 0);
         double room = limit * PRESSING_PART - queue();
         double ordinary = room - limit * (PRESSING_PART - CHANNEL_PART);
