Let no hall that nobody can serve hold the others' joins up

Found on rereading: the proxy that waits longest was tried alone, and one whose class must stay in a hall without replicas was never bound. Joins now pass it by, and a class that has no line yet does not keep the proxy's others from theirs.

--- a/src/main/java/rockshift/Known.java
+++ b/src/main/java/rockshift/Known.java
@@ -99,7 +99,7 @@
         }
     }
 
-    /** What proxies of a zone met at a replica over a span, the mean time of answers, and its load if told. */
+    /** What proxies of a zone met at a replica over a span, the mean time of answers, its load if told. */
     public void heard(long now, String zone, long id, int count, int failed, long took, long span,
             Double busy) {
         this.now = now;
--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -220,31 +220,29 @@
         }
     }
 
-    /** Lays the tables of its place under the proxy that waits longest; never one without a line. */
+    /** Lays the tables of its place under the proxy that waits longest and has some; none without a line. */
     private boolean join(Orders orders) {
-        Proxy proxy = waiting.isEmpty() ? null : waiting.values().iterator().next();
-        if (proxy == null || proxy.place == null || !proxy.place.laid) {
-            return false;
-        }
-        double cost = 0;
-        for (Request request : proxy.place.requests) {
-            long filled = request.paths.values().stream().filter(path -> path.published > 0).count();
+        for (Proxy proxy : waiting.values()) {
+            Place place = proxy.place;
+            long filled = place == null || !place.laid ? 0 : place.requests.stream()
+                    .flatMap(request -> request.paths.values().stream())
+                    .filter(path -> path.published > 0).count();
+            double cost = filled + 2 * classes;
             if (filled == 0) {
+                continue;
+            } else if (queue() + cost + head + 1 > limit * CHANNEL_PART) {
                 return false;
             }
-            cost += filled + 2;
-        }
-        if (queue() + cost + head + 1 > limit * CHANNEL_PART) {
-            return false;
-        }
-        for (Request request : proxy.place.requests) {
-            orders.bind(request.number, proxy.number, 1 << request.type);
+            for (Request request : place.requests) {
+                orders.bind(request.number, proxy.number, 1 << request.type);
+            }
+            waiting.remove(proxy.number);
+            proxy.bound = true;
+            place.bound++;
+            channel.post(proxy, cost, now);
+            return true;
         }
-        waiting.remove(proxy.number);
-        proxy.bound = true;
-        proxy.place.bound++;
-        channel.post(proxy, cost, now);
-        return true;
+        return false;
     }
 
     /**
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -201,6 +201,18 @@
         assertThat(host.turn().said).contains("bind 1 2 1");
     }
 
+    /** Found on rereading: a class that must stay in a hall without replicas held all other halls' joins up. */
+    @Test
+    void aHallThatNobodyCanServeHoldsNobodyElseUp() {
+        FakeHost host = new FakeHost("class.0.own.zone", "true");
+        host.logic.joined(host.now, 0, "east", 5);
+        host.logic.joined(host.now, 1, "west", 5);
+        host.logic.listed(host.now, List.of(ready(2, "west", 0), ready(4, "west", 0)), true);
+        assertThat(host.turn().bound).containsExactly(1);
+        host.logic.listed(host.now, List.of(ready(1, "east", 0)), true);
+        assertThat(host.pass(1.1).bound).containsExactly(0, 1);
+    }
+
     // ---- the channel ----
 
     @Test
