Keep a capped cold line at the floor, never below zero

Cause: a class whose rates are all zero keeps its last table, a lone line's part then is 1 and a little by rounding, and the cap's share of the rest falls below zero. Told by the line itself. Change: the cap never goes under the floor weight.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -782,7 +782,8 @@
             // Guards a cold replica when one place asks for far more than it reported, or its proxies leave
             // their best line out as they failed there: no table leans on it much more than the fleet does.
             double most = COLD_SPREAD * beside * path.link.capacity / request.utopic + FLOOR / allowed;
-            double capped = part > most ? most * (1 - part) / (1 - most) : part;
+            double least = FLOOR / allowed;
+            double capped = part > most ? Math.max(least, most * (1 - part) / (1 - most)) : part;
             path.target = warmth(path.link) < 1 ? capped : part;
             standing += allowed(path) ? path.published : 0;
             targets += allowed(path) && path.published > 0 ? path.target : 0;
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -156,6 +156,23 @@
         assertThat(sent).isLessThan(3 * 0.2 * 20);
     }
 
+    /** What a cold replica may be of a table is bounded, but alone it is all that there is. */
+    @Test
+    void aColdReplicaLeftAloneKeepsItsLine() {
+        FakeHost host = new FakeHost().fleet(3);
+        for (int i = 0; i < 5; i++) {
+            host.second(good(1, 20, 0.5), good(2, 20, 0.5), good(3, 20, 0.5));
+        }
+        host.logic.listed(host.now, List.of(ready(2, "west", host.now),
+                new Listed(1, "east", "plain", Listed.Health.GONE, 0),
+                new Listed(3, "east", "plain", Listed.Health.GONE, 0)), true);
+        for (int i = 0; i < 5; i++) {
+            host.second(good(2, 20, 0.9));
+            assertThat(host.tables.get(0)).containsOnlyKeys(2L).allSatisfy((id, weight) ->
+                    assertThat(weight).isPositive());
+        }
+    }
+
     /** Incident i6012f0: a hall came back whole, and its proxies asked for more than they had reported. */
     @Test
     void noTableLeansOnAColdReplicaMoreThanTheFleetDoes() {
