Give a place with a hot proxy no cold line

Cause: one proxy brings 340 transactions a second, fails at all that ages and leaves it out itself, until the cold lines of its table, a thousandth of it by weight, are what remains. Told from heavy tables by the weights, and by 34 tries from that proxy's hall alone. Change: where one proxy brings over 40 times a cold replica's part, its place has no line for it until it is warm. It could idle a new replica where all callers are hot.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -106,6 +106,8 @@
     private static final double COLD_PART = 0.3;
     /** Times its part of the fleet's capacity that a cold replica may be of any one table. */
     private static final double COLD_SPREAD = 1.5;
+    /** Times a cold replica's part that a proxy may bring of a class: a hotter one could push it over. */
+    private static final double HOT = 40;
     /** Tenths of a ms: a shunned replica's first rest; it doubles up to the longest. */
     private static final long REST = 60_000;
     private static final long LONGEST_REST = 150_000;
@@ -190,7 +192,6 @@
             dues.pollFirst();
             giveBack(replicas.get(due.replica), due.far);
         } else if (!join(orders) && !withdraw(orders)) {
-            // One mark for all messages of a turn: those long unanswered tell of a slow channel.
             int serial = channel.mark(now);
             if (serial > 0) {
                 orders.mark(serial, false);
@@ -419,6 +420,7 @@
     /** Request weights: shares of demand, by place and class. */
     private void weighDemand() {
         for (Place place : places) {
+            place.hottest = 0;
             for (Request request : place.requests) {
                 request.oldWeight = request.weight;
                 request.weight = 0;
@@ -432,6 +434,7 @@
                 proxy.came[k] = proxy.span[k] = 0;
                 proxy.place.requests.get(k).weight += proxy.rate[k];
                 expected += proxy.rate[k] / 10_000;
+                proxy.place.hottest = Math.max(proxy.place.hottest, proxy.rate[k]);
             }
         }
         requests = places.stream().filter(place -> place.joined > 0)
@@ -692,10 +695,6 @@
         double ordinary = room - limit * (PRESSING_PART - CHANNEL_PART);
         double share = Math.min(CHANNEL_PART, CHANGES_WORTH / number("price.orders", 0));
         double weights = gathered ? share * number("channel.pace", Double.MAX_VALUE) : 0;
-        for (Place place : places) {
-            place.sent = 0;
-            place.full = false;
-        }
         for (Proxy proxy : proxies.values()) {
             proxy.messages.removeIf(at -> at <= expired);
             if (proxy.bound) {
@@ -731,6 +730,8 @@
         }
         for (Place place : places) {
             place.laid = place.joined > 0;
+            place.sent = 0;
+            place.full = false;
             place.requests.forEach(request -> request.paths.values().removeIf(path -> path.published == 0
                     && !allowed(path) && path.link.paths.remove(path)));
         }
@@ -782,9 +783,9 @@
             // Guards a cold replica when one place asks for far more than it reported, or its proxies leave
             // their best line out as they failed there: no table leans on it much more than the fleet does.
             double most = COLD_SPREAD * beside * path.link.capacity / request.utopic + FLOOR / allowed;
-            double least = FLOOR / allowed;
-            double capped = part > most ? Math.max(least, most * (1 - part) / (1 - most)) : part;
-            path.target = warmth(path.link) < 1 ? capped : part;
+            double capped = part > most ? Math.max(FLOOR / allowed, most * (1 - part) / (1 - most)) : part;
+            boolean hot = top > 0 && request.place.hottest > HOT * path.link.capacity * expected * 10_000;
+            path.target = warmth(path.link) == 1 ? part : hot ? 0 : capped;
             standing += allowed(path) ? path.published : 0;
             targets += allowed(path) && path.published > 0 ? path.target : 0;
         }
--- a/src/main/java/rockshift/Place.java
+++ b/src/main/java/rockshift/Place.java
@@ -10,6 +10,8 @@
     final String zone;
     final TreeMap<Long, Replica> members = new TreeMap<>();
     final List<Request> requests = new ArrayList<>();
+    /** Transactions a second of a class that its hottest proxy brings. */
+    double hottest;
     int joined;
     int bound;
     /** Whether the tables are in use and up to the last batch. */
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -156,6 +156,20 @@
         assertThat(sent).isLessThan(3 * 0.2 * 20);
     }
 
+    /** Hunt h6dcbf4 at saskatoon-main-later: one hot caller left all other lines out after failures there. */
+    @Test
+    void aHotProxyIsGivenNoColdLine() {
+        FakeHost host = large("class.0.name", "cut").pass(3);
+        for (int i = 0; i < 4; i++) {
+            host.logic.usage(host.now, 0, "cut", 400, SECOND);
+            host.pass(1);
+        }
+        long cold = host.tables.get(host.tableOf(0)).firstKey();
+        host.logic.listed(host.now, List.of(ready(cold, cold % 2 == 1 ? "east" : "west", host.now)), true);
+        assertThat(host.turn().tables.get(host.tableOf(0))).doesNotContainKey(cold);
+        assertThat(host.pass(12).tables.get(host.tableOf(0))).containsKey(cold);
+    }
+
     /** What a cold replica may be of a table is bounded, but alone it is all that there is. */
     @Test
     void aColdReplicaLeftAloneKeepsItsLine() {
