Tidy the dealing of places, decisions unchanged

Who has gone is sought once for all places, not once for each; the reach of a place is one value; its comment says three lines in four near, as the code does.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -291,7 +291,7 @@
 
     /**
      * Deals each place its replicas. Where whole tables fit the channel and the connections, all get all.
-     * Else a zone's proxies fall into several places, half the lines near and half far, dealt so that each
+     * Else a zone's proxies fall into several places, three lines in four near, dealt so that each
      * replica is held about equally often, and more where demand needs it; what was dealt stays.
      */
     private void deal() {
@@ -299,13 +299,13 @@
         if (places.isEmpty() && !usable.isEmpty() && !proxies.isEmpty() && classes > 0) {
             open(usable.size());
         }
+        replicas.values().stream().filter(replica -> !replica.usable())
+                .forEach(gone -> places.forEach(place -> place.remove(gone)));
         for (Place place : places) {
-            replicas.values().stream().filter(replica -> !replica.usable()).forEach(place::remove);
             double has = place.members.size();
-            Request any = place.requests.get(0);
             double demand = place.requests.stream().mapToDouble(request -> request.weight).sum();
-            boolean known = any.utopic > 0 && waiting.isEmpty();
-            double needs = Math.max(lines, known ? has * SPARE * demand / any.utopic : 0);
+            double reach = waiting.isEmpty() ? place.requests.get(0).utopic : 0;
+            double needs = Math.max(lines, reach > 0 ? has * SPARE * demand / reach : 0);
             if (has < REFILL * Math.min(needs, usable.size())) {
                 fill(place, usable, true, Math.ceil((needs - has) * NEAR_LINES));
                 fill(place, usable, false, Math.floor((needs - has) * (1 - NEAR_LINES)));
