--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -235,7 +235,7 @@
                 return false;
             }
             for (Request request : place.requests) {
-                orders.bind(request.number, proxy.number, 1 << request.type);
+                cost += orders.bind(request.number, proxy.number, 1 << request.type);
             }
             waiting.remove(proxy.number);
             proxy.bound = true;
@@ -714,13 +714,13 @@
             room -= cost;
             ordinary -= cost;
             weights -= old > 0 && !guard ? cost : 0;
-            place.sent++;
             if (change.path == null) {
                 change.request.sentLevel = change.to;
                 orders.admit(change.request.number, 1 << change.request.type, change.to, AGAIN);
+                place.sent++;
             } else {
                 change.path.published = change.to;
-                orders.line(change.request.number, change.path.link.id, change.to);
+                place.sent += orders.line(change.request.number, change.path.link.id, change.to);
             }
         }
         for (Proxy proxy : proxies.values()) {
--- a/src/main/java/rockshift/Orders.java
+++ b/src/main/java/rockshift/Orders.java
@@ -2,24 +2,21 @@
 
 /** What a host carries out for one instance of {@link Logic}, in the order of the calls. */
 public interface Orders {
-    /** Sets one line of a table; weight 0 removes it. */
-    void line(int table, long replica, double weight);
+    /** Sets one line of a table; weight 0 removes it. Answers how many lines each bound proxy is sent. */
+    int line(int table, long replica, double weight);
 
     /** Shuts a replica out of everything that joined proxies hold, or lets it in again. */
     void withdraw(long replica, boolean out);
 
-    /** Puts a joined proxy on a table for the classes whose bits are set (0: all of them). */
-    void bind(int table, int proxy, int classes);
+    /**
+     * Puts a joined proxy on a table for the classes whose bits are set (0: all of them). Answers how many
+     * lines the proxy is sent beside those of the table, its levels and the one for the binding.
+     */
+    int bind(int table, int proxy, int classes);
 
     /** Sets the admitted level of a table's classes, and how often its proxies try again (0 to 3). */
     void admit(int table, int classes, double level, int again);
 
-    /** Asks a replica whether it answers. */
-    void probe(long replica);
-
-    /** Sends a few bytes to a fellow governor, or to all of them (-1). */
-    void tell(int governor, byte[] text);
-
     /** Numbers the messages of this turn; each proxy reached answers with the number. */
     void mark(int serial, boolean everyone);
 
--- a/src/main/java/rockshift/drill/Drill.java
+++ b/src/main/java/rockshift/drill/Drill.java
@@ -105,9 +105,9 @@
     private void read(Codec event, int governor, long now) {
         if (event.name().equals("HELLO")) {
             long seed = event.whole("a seed");
-            Map<String, String> settings = event.settings();
-            instances.put(governor, new Logic(now, seed, settings));
-            if (settings.getOrDefault("list.feed", "").equals("subscribe")) {
+            Map<String, String> terms = event.terms();
+            instances.put(governor, new Logic(now, seed, terms));
+            if (terms.getOrDefault("list.feed", "").equals("subscribe")) {
                 subscribe(governor);
             }
             return;
@@ -185,8 +185,9 @@
         }
 
         @Override
-        public void line(int table, long replica, double weight) {
+        public int line(int table, long replica, double weight) {
             start("WEIGH").append(table).append(' ').append(replica).append(' ').append(weight).append('\n');
+            return 1;
         }
 
         @Override
@@ -195,9 +196,10 @@
         }
 
         @Override
-        public void bind(int table, int proxy, int classes) {
+        public int bind(int table, int proxy, int classes) {
             start("ATTACH_TABLE").append(classes).append(' ').append(table).append(' ').append(proxy)
                     .append('\n');
+            return 0;
         }
 
         @Override
@@ -206,16 +208,6 @@
                     .append(again).append('\n');
         }
 
-        @Override
-        public void probe(long replica) {
-            start("HEALTH_CHECK").append(replica).append('\n');
-        }
-
-        @Override
-        public void tell(int fellow, byte[] text) {
-            start("NOTIFY").append(fellow).append(' ').append(Codec.hex(text)).append('\n');
-        }
-
         @Override
         public void mark(int serial, boolean everyone) {
             start("STAMP").append(everyone ? "1 " : "0 ").append(serial).append('\n');
--- /dev/null
+++ b/src/main/java/rockshift/net/Charter.java
@@ -0,0 +1,124 @@
+package rockshift.net;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.StringJoiner;
+import rockshift.Terms;
+
+/**
+ * What a governor is told in its file at the start: where it is, where discovery is, what it may use, the
+ * list that it last had, and its terms. It is read once and never written, and what is missing is named.
+ */
+record Charter(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int descriptors,
+        Roster.Listing known, Map<String, String> terms) {
+    /** Descriptors where none are told: what is usual for a process. */
+    private static final int USUAL_DESCRIPTORS = 1024;
+
+    /** A file that can't be used; the message names it and the field. */
+    static final class Unusable extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Unusable(String message) {
+            super(message);
+        }
+    }
+
+    static Charter read(String file) throws Unusable {
+        if (file == null || file.isEmpty()) {
+            throw new Unusable("RELAY_CONFIG names no file");
+        }
+        String name = "governor";
+        InetSocketAddress listen = null;
+        InetSocketAddress discovery = null;
+        Long seed = null;
+        int descriptors = USUAL_DESCRIPTORS;
+        Roster.Listing known = null;
+        Terms terms = new Terms();
+        String field = "";
+        try (JsonParser json = new JsonFactory().createParser(new File(file))) {
+            if (json.nextToken() != JsonToken.START_OBJECT) {
+                throw new Unusable(file + ": no JSON object");
+            }
+            while (json.nextToken() != JsonToken.END_OBJECT) {
+                field = json.currentName();
+                json.nextToken();
+                switch (field) {
+                    case "name" -> name = json.getText();
+                    case "listen" -> listen = address(json.getText());
+                    case "discovery" -> discovery = address(json.getText());
+                    case "seed" -> seed = Long.parseUnsignedLong(json.getText(), 16);
+                    case "known" -> known = Roster.read(json);
+                    case "limits" -> descriptors = sockets(json, descriptors);
+                    case "settings" -> flatten("", json, terms);
+                    default -> json.skipChildren();
+                }
+            }
+        } catch (IOException | IllegalArgumentException wrong) {
+            String what = wrong.getMessage() == null ? wrong.toString() : wrong.getMessage().split("\n")[0];
+            throw new Unusable(file + ": " + (field.isEmpty() ? "" : "field " + field + ": ") + what);
+        }
+        require(file, "listen", listen);
+        require(file, "discovery", discovery);
+        require(file, "seed", seed);
+        require(file, "known", known);
+        for (String needed : new String[] {"zones", "classes", "class.0.name", "proxies"}) {
+            require(file, "settings (" + needed + ")", terms.map().get(needed));
+        }
+        return new Charter(name, listen, discovery, seed, descriptors, known, terms.map());
+    }
+
+    private static void require(String file, String field, Object value) throws Unusable {
+        if (value == null) {
+            throw new Unusable(file + ": field " + field + " is missing");
+        }
+    }
+
+    private static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon < 0) {
+            throw new IllegalArgumentException("an address with a port, not '" + text + "'");
+        }
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    private static int sockets(JsonParser json, int otherwise) throws IOException {
+        int told = otherwise;
+        while (json.nextToken() != JsonToken.END_OBJECT) {
+            boolean sockets = json.currentName().equals("sockets");
+            json.nextToken();
+            told = sockets ? json.getIntValue() : told;
+            json.skipChildren();
+        }
+        return told;
+    }
+
+    /** Nested values as paths: plain lists joined by commas, lists of objects numbered and counted. */
+    private static void flatten(String path, JsonParser json, Terms terms) throws IOException {
+        if (json.currentToken() == JsonToken.START_OBJECT) {
+            while (json.nextToken() != JsonToken.END_OBJECT) {
+                String step = path.isEmpty() ? json.currentName() : path + "." + json.currentName();
+                json.nextToken();
+                flatten(step, json, terms);
+            }
+        } else if (json.currentToken() == JsonToken.START_ARRAY) {
+            StringJoiner plain = new StringJoiner(",");
+            int objects = 0;
+            while (json.nextToken() != JsonToken.END_ARRAY) {
+                if (json.currentToken().isScalarValue()) {
+                    plain.add(json.getText());
+                } else {
+                    flatten(path + "." + objects++, json, terms);
+                }
+            }
+            terms.put(objects > 0 ? path + ".count" : path,
+                    objects > 0 ? Integer.toString(objects) : plain.toString());
+        } else if (json.currentToken() != JsonToken.VALUE_NULL) {
+            terms.put(path, json.getText());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/net/Roster.java
@@ -0,0 +1,243 @@
+package rockshift.net;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParseException;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.Message;
+import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
+import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
+import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
+import org.apache.hc.core5.http.nio.entity.AbstractBinAsyncEntityConsumer;
+import org.apache.hc.core5.http.nio.support.AsyncRequestBuilder;
+import org.apache.hc.core5.http.nio.support.BasicResponseConsumer;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.util.Timeout;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import rockshift.Listed;
+import rockshift.Terms;
+
+/**
+ * The list of replicas, kept by watching discovery, and the numbers under which the module knows them. It
+ * owns the connection to discovery and the version of the list that is held. Whatever discovery does, it
+ * must never lose the list that it has, and never wait longer than the limits here.
+ */
+final class Roster implements Runnable {
+    private static final Logger LOG = LoggerFactory.getLogger(Roster.class);
+    /** Ms that a watch may be held: what the protocol shows, far under its minute. */
+    private static final int HELD = 20_000;
+    /** Ms beyond that until a call counts as lost: what discovery says is told by then. */
+    private static final int LATE = 2_000;
+    /** Ms until a call that is not held counts as lost; what it would say is told after 6 s. */
+    private static final int PROMPT = 5_000;
+    /** Ms after a failed call: under the 200 ms that a watch outlives, and no load on the agent. */
+    private static final int PAUSE = 100;
+    /** Bytes of the longest answer: tens of thousands of replicas, and an eighth of the heap. */
+    private static final int LONGEST = 8 << 20;
+    private static final int TENTHS_PER_MILLI = 10;
+    private static final JsonFactory JSON = new JsonFactory();
+
+    /** A list as it came, whole or what changed, with the names that its replicas have outside. */
+    record Listing(long version, boolean whole, List<Listed> entries, Map<Long, String> names) { }
+
+    private final HttpHost host;
+    private final Turns turns;
+    private final Map<Long, String> names;
+    private final HttpAsyncRequester client;
+    private AsyncClientEndpoint endpoint;
+    private long version = -1;
+
+    Roster(HttpHost host, Turns turns, Map<Long, String> names) {
+        this.host = host;
+        this.turns = turns;
+        this.names = names;
+        client = AsyncRequesterBootstrap.bootstrap()
+                .setIOReactorConfig(IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).build())
+                .create();
+    }
+
+    /** The number of a replica: the same at every governor and after every start, as its name is. */
+    static long number(String name) {
+        try {
+            byte[] hash = MessageDigest.getInstance("SHA-256").digest(name.getBytes(StandardCharsets.UTF_8));
+            return ByteBuffer.wrap(hash).getLong() >>> 1;
+        } catch (NoSuchAlgorithmException missing) {
+            throw new IllegalStateException(missing);
+        }
+    }
+
+    /** Takes in a list: names first, as orders may follow at once. */
+    static void take(Listing listing, Map<Long, String> names, Turns turns) {
+        names.putAll(listing.names);
+        turns.listed(listing.entries, !listing.whole);
+    }
+
+    @Override
+    public void run() {
+        client.start();
+        try {
+            while (!Thread.currentThread().isInterrupted()) {
+                try {
+                    Listing listing = ask();
+                    version = listing.version;
+                    take(listing, names, turns);
+                } catch (IOException | ExecutionException | TimeoutException failure) {
+                    Throwable cause = failure instanceof ExecutionException ? failure.getCause() : failure;
+                    LOG.warn("discovery: {}, list of version {} kept", cause.toString(), version);
+                    drop();
+                    TimeUnit.MILLISECONDS.sleep(PAUSE);
+                }
+            }
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        } finally {
+            drop();
+            client.close(CloseMode.IMMEDIATE);
+        }
+    }
+
+    private void drop() {
+        if (endpoint != null) {
+            endpoint.releaseAndDiscard();
+            endpoint = null;
+        }
+    }
+
+    /** One call: the whole list first, then a watch for what is newer than the list that is held. */
+    private Listing ask() throws IOException, ExecutionException, TimeoutException, InterruptedException {
+        int limit = version < 0 ? PROMPT : HELD + LATE;
+        if (endpoint == null || !endpoint.isConnected()) {
+            drop();
+            endpoint = client.connect(host, Timeout.ofMilliseconds(LATE)).get(LATE, TimeUnit.MILLISECONDS);
+        }
+        String path = "/discovery/hosts" + (version < 0 ? "" : "?index=" + version + "&wait=" + HELD);
+        Future<Message<HttpResponse, byte[]>> call = endpoint.execute(
+                AsyncRequestBuilder.get().setHttpHost(host).setPath(path).build(),
+                new BasicResponseConsumer<>(new Body()), null);
+        Message<HttpResponse, byte[]> answer = call.get(limit, TimeUnit.MILLISECONDS);
+        if (answer.getHead().getCode() != 200 || answer.getBody() == null) {
+            throw new IOException("status " + answer.getHead().getCode());
+        }
+        try (JsonParser json = JSON.createParser(answer.getBody())) {
+            json.nextToken();
+            return read(json);
+        }
+    }
+
+    /** Reads a list, from its opening brace to its closing one. */
+    static Listing read(JsonParser json) throws IOException {
+        Long version = null;
+        Boolean whole = null;
+        List<Listed> entries = new ArrayList<>();
+        Map<Long, String> names = new ConcurrentHashMap<>();
+        boolean listed = false;
+        expect(json, JsonToken.START_OBJECT);
+        while (json.nextToken() != JsonToken.END_OBJECT) {
+            String name = json.currentName();
+            json.nextToken();
+            switch (name) {
+                case "generation" -> version = json.getLongValue();
+                case "reset" -> whole = json.getBooleanValue();
+                case "instances" -> {
+                    listed = true;
+                    expect(json, JsonToken.START_ARRAY);
+                    while (json.nextToken() != JsonToken.END_ARRAY) {
+                        entries.add(entry(json, names));
+                    }
+                }
+                default -> json.skipChildren();
+            }
+        }
+        if (version == null || whole == null || !listed) {
+            throw new JsonParseException(json, "a list without generation, reset or instances");
+        }
+        return new Listing(version, whole, entries, names);
+    }
+
+    private static Listed entry(JsonParser json, Map<Long, String> names) throws IOException {
+        String id = null;
+        String zone = null;
+        String kind = "";
+        Listed.Health health = null;
+        long started = 0;
+        expect(json, JsonToken.START_OBJECT);
+        while (json.nextToken() != JsonToken.END_OBJECT) {
+            String name = json.currentName();
+            json.nextToken();
+            switch (name) {
+                case "instanceId" -> id = json.getText();
+                case "zone" -> zone = json.getText();
+                case "machineType" -> kind = json.getText();
+                case "lifecycle" -> health = Terms.health(json.getText());
+                case "startedAtMs" -> started = Math.round(json.getDoubleValue() * TENTHS_PER_MILLI);
+                default -> json.skipChildren();
+            }
+        }
+        if (id == null || zone == null || health == null) {
+            throw new JsonParseException(json, "an entry without instanceId, zone or a known lifecycle");
+        }
+        long number = number(id);
+        names.put(number, id);
+        return new Listed(number, zone, kind, health, started);
+    }
+
+    private static void expect(JsonParser json, JsonToken token) throws IOException {
+        if (json.currentToken() != token) {
+            throw new JsonParseException(json, "expected " + token + ", found " + json.currentToken());
+        }
+    }
+
+    /** The bytes of an answer, up to the longest that is taken. */
+    private static final class Body extends AbstractBinAsyncEntityConsumer<byte[]> {
+        private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+
+        @Override
+        protected void streamStart(ContentType type) {
+            bytes.reset();
+        }
+
+        @Override
+        protected int capacityIncrement() {
+            return LONGEST;
+        }
+
+        @Override
+        protected void data(ByteBuffer came, boolean last) throws IOException {
+            if (bytes.size() + came.remaining() > LONGEST) {
+                throw new IOException("an answer of over " + LONGEST + " bytes");
+            }
+            byte[] piece = new byte[came.remaining()];
+            came.get(piece);
+            bytes.writeBytes(piece);
+        }
+
+        @Override
+        protected byte[] generateContent() {
+            return bytes.toByteArray();
+        }
+
+        @Override
+        public void releaseResources() {
+            bytes.reset();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/net/Serve.java
@@ -0,0 +1,80 @@
+package rockshift.net;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.apache.hc.core5.http.HttpHost;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A governor on sockets, put together from its parts: the charter, the module's thread, the roster and the
+ * streams. It owns their start and their end, and must never take part in what they do.
+ */
+public final class Serve implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Serve.class);
+    /** Exit statuses: a file that can't be used, an address that can't be listened on. */
+    private static final int UNUSABLE = 2;
+    private static final int TAKEN = 1;
+
+    private final Thread turning;
+    private final Thread watching;
+    private final Streams streams;
+    private final int port;
+
+    Serve(Charter charter) throws IOException, InterruptedException {
+        Map<Long, String> names = new ConcurrentHashMap<>();
+        Turns turns = new Turns(charter.seed(), charter.terms(), names::get);
+        HttpHost discovery = new HttpHost("http", charter.discovery().getHostString(),
+                charter.discovery().getPort());
+        Roster.take(charter.known(), names, turns);
+        turning = new Thread(turns, "turns");
+        watching = new Thread(new Roster(discovery, turns, names), "roster");
+        streams = new Streams(turns, charter.terms(), charter.descriptors());
+        try {
+            port = streams.listen(charter.listen());
+        } catch (IOException failure) {
+            streams.close();
+            throw failure;
+        }
+        turning.start();
+        watching.start();
+        LOG.info("{} serves on {}, port {}", charter.name(), charter.listen().getHostString(), port);
+    }
+
+    int port() {
+        return port;
+    }
+
+    @Override
+    public void close() {
+        streams.close();
+        watching.interrupt();
+        turning.interrupt();
+    }
+
+    /** Serves until the process is told to end; answers an exit status where it can't begin. */
+    public static int run(Map<String, String> environment) throws InterruptedException {
+        Charter charter;
+        try {
+            charter = Charter.read(environment.get("RELAY_CONFIG"));
+        } catch (Charter.Unusable wrong) {
+            System.err.println(wrong.getMessage());
+            return UNUSABLE;
+        }
+        Serve serve;
+        try {
+            serve = new Serve(charter);
+        } catch (IOException failure) {
+            System.err.println("cannot listen on " + charter.listen() + ": " + failure.getMessage());
+            return TAKEN;
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            LOG.info("{} stops", charter.name());
+            serve.close();
+            Runtime.getRuntime().halt(0);
+        }, "stop"));
+        serve.turning.join();
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/net/Streams.java
@@ -0,0 +1,281 @@
+package rockshift.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
+import org.apache.hc.core5.reactor.IOEventHandler;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.ListenerEndpoint;
+import org.apache.hc.core5.util.Timeout;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The listener and the connections of proxies, collectors and strangers: bytes in, bytes out, and who each
+ * party is. It owns the sockets and the bytes that wait for them. It must never wait for the module, for
+ * writing or for another party, and what one party does may cost that party its connection and no more.
+ */
+final class Streams {
+    private static final Logger LOG = LoggerFactory.getLogger(Streams.class);
+    /** Bytes read from one connection before the others have their turn. */
+    private static final int PIECE = 1 << 16;
+    /** Bytes that a party may leave unread before its connection is reset: the protocol's figure. */
+    private static final int UNREAD = 128 << 10;
+    /** Bytes of all unfinished long messages together: a sixth of the memory that we are given. */
+    private static final int UNFINISHED = 32 << 20;
+    /** Connections that may wait to be accepted: all proxies dialling at once. */
+    private static final int BACKLOG = 1024;
+    /** Descriptors that are not for parties: the program's files, selectors, listener and discovery. */
+    private static final int RESERVED = 64;
+    private static final int TENTHS_PER_MILLI = 10;
+    private static final byte[] PONG = Resp.message(List.of(Resp.PONG));
+
+    private final Turns turns;
+    private final Set<String> zones;
+    private final Set<String> classes = new LinkedHashSet<>();
+    private final int proxies;
+    private final int most;
+    private final DefaultListeningIOReactor reactor;
+    // Used by the reactor's one thread alone.
+    private final ByteBuffer piece = ByteBuffer.allocate(PIECE);
+    private final LinkedHashSet<Party> parties = new LinkedHashSet<>();
+    private long unfinished;
+
+    Streams(Turns turns, Map<String, String> terms, int descriptors) {
+        this.turns = turns;
+        zones = Set.of(terms.get("zones").split(","));
+        for (int k = 0; k < Integer.parseInt(terms.get("classes")); k++) {
+            classes.add(terms.get("class." + k + ".name"));
+        }
+        proxies = (int) Double.parseDouble(terms.get("proxies"));
+        most = Math.max(1, descriptors - RESERVED);
+        IOReactorConfig one = IOReactorConfig.custom().setIoThreadCount(1).setBacklogSize(BACKLOG)
+                .setSoReuseAddress(true).setTcpNoDelay(true).build();
+        reactor = new DefaultListeningIOReactor((session, attachment) -> new Party(session), one, null, null,
+                null, failure -> LOG.error("failure of the listener", failure), null, null);
+    }
+
+    /** Answers the port. */
+    int listen(InetSocketAddress address) throws IOException, InterruptedException {
+        reactor.start();
+        try {
+            ListenerEndpoint endpoint = reactor.listen(address, null).get();
+            return ((InetSocketAddress) endpoint.getAddress()).getPort();
+        } catch (ExecutionException failure) {
+            throw new IOException(failure.getCause().getMessage(), failure.getCause());
+        }
+    }
+
+    void close() {
+        reactor.close(CloseMode.IMMEDIATE);
+    }
+
+    /** One connection and who is at its other end. */
+    private final class Party implements IOEventHandler, Tables.Stream {
+        private final IOSession session;
+        private final Resp resp = new Resp();
+        private final ConcurrentLinkedQueue<ByteBuffer> waiting = new ConcurrentLinkedQueue<>();
+        private final AtomicInteger unread = new AtomicInteger();
+        private volatile String reason;
+        private String about = "";
+        private String name = "stranger";
+        private boolean collector;
+        private int proxy = -1;
+
+        Party(IOSession session) {
+            this.session = session;
+        }
+
+        @Override
+        public void connected(IOSession same) {
+            session.setSocketTimeout(Timeout.DISABLED);
+            if (parties.size() >= most) {
+                // Strangers that say nothing make room for who may have something to say.
+                Iterator<Party> strangers = parties.stream().filter(Party::stranger).iterator();
+                if (!strangers.hasNext()) {
+                    end("crowded", "");
+                    return;
+                }
+                Party oldest = strangers.next();
+                parties.remove(oldest);
+                oldest.end("crowded", "");
+            }
+            parties.add(this);
+        }
+
+        private boolean stranger() {
+            return !collector && proxy < 0;
+        }
+
+        @Override
+        public void inputReady(IOSession same, ByteBuffer unused) throws IOException {
+            piece.clear();
+            int count = session.read(piece);
+            if (count < 0) {
+                end("left", "");
+                return;
+            }
+            unfinished -= resp.held();
+            try {
+                resp.feed(piece.flip());
+                while (reason == null && resp.next()) {
+                    if (!take()) {
+                        end("flood", "too much waits for the module");
+                    }
+                }
+            } catch (Resp.Broken broken) {
+                end(broken.code, broken.getMessage());
+            } finally {
+                unfinished += resp.held();
+            }
+            if (unfinished > UNFINISHED + (long) Resp.USUAL * parties.size() && resp.held() > Resp.USUAL) {
+                end("flood", "too many unfinished messages");
+            }
+        }
+
+        /** Takes in one message; false where the module has too much to take in already. */
+        private boolean take() throws Resp.Broken {
+            return switch (resp.kind()) {
+                case Resp.PING -> {
+                    send(PONG);
+                    yield true;
+                }
+                case Resp.COLLECTOR -> {
+                    require(stranger(), "a collector that was something else");
+                    name = "collector of " + zone();
+                    collector = true;
+                    yield true;
+                }
+                case Resp.JOINED -> {
+                    require(stranger(), "a proxy that was something else");
+                    int number = numbered();
+                    String zone = zone();
+                    double rate = resp.number(Resp.USUAL_RATE);
+                    name = "proxy " + number;
+                    proxy = number;
+                    yield turns.joined(number, zone, rate, this);
+                }
+                case Resp.HEARD -> {
+                    require(collector, "a report from no collector");
+                    int count = resp.whole(Resp.COUNT);
+                    int failed = resp.whole(Resp.FAILED);
+                    field(failed <= count, Resp.FAILED);
+                    yield turns.heard(zone(), Roster.number(resp.text(Resp.REPLICA)), count, failed,
+                            tenths(Resp.MEAN_TIME), tenths(Resp.SPAN), resp.paired(Resp.LOAD, Resp.BUSY));
+                }
+                case Resp.USAGE -> {
+                    require(!stranger(), "a report from a stranger");
+                    String type = resp.text(Resp.CLASS);
+                    field(classes.contains(type), Resp.CLASS);
+                    yield turns.usage(numbered(), type, resp.whole(Resp.COUNT), tenths(Resp.SPAN));
+                }
+                case Resp.APPLIED -> {
+                    require(proxy >= 0 && numbered() == proxy, "a mark of another proxy");
+                    yield turns.applied(proxy, resp.whole(Resp.SERIAL), this);
+                }
+                default -> throw new Resp.Broken("unknown-kind", "'" + resp.kind() + "'");
+            };
+        }
+
+        private void require(boolean so, String what) throws Resp.Broken {
+            if (!so) {
+                throw new Resp.Broken("unexpected", what);
+            }
+        }
+
+        private void field(boolean fits, String field) throws Resp.Broken {
+            if (!fits) {
+                throw new Resp.Broken("bad-field", field + " '" + resp.text(field) + "'");
+            }
+        }
+
+        private String zone() throws Resp.Broken {
+            String zone = resp.text(Resp.ZONE);
+            field(zones.contains(zone), Resp.ZONE);
+            return zone;
+        }
+
+        private int numbered() throws Resp.Broken {
+            int number = resp.whole(Resp.PROXY);
+            field(number < proxies, Resp.PROXY);
+            return number;
+        }
+
+        private long tenths(String name) throws Resp.Broken {
+            return (long) (resp.number(name) * TENTHS_PER_MILLI);
+        }
+
+        /** Called by any thread; the reactor's writes. */
+        @Override
+        public void send(byte[] message) {
+            if (unread.getAndAdd(message.length) > UNREAD) {
+                end("unread", unread.get() + " bytes wait");
+            } else if (reason == null) {
+                waiting.add(ByteBuffer.wrap(message));
+                session.setEvent(SelectionKey.OP_WRITE);
+            }
+        }
+
+        @Override
+        public void outputReady(IOSession same) throws IOException {
+            for (ByteBuffer next = waiting.peek(); next != null; next = waiting.peek()) {
+                unread.addAndGet(-session.write(next));
+                if (next.hasRemaining()) {
+                    return;
+                }
+                waiting.remove();
+            }
+            session.clearEvent(SelectionKey.OP_WRITE);
+            if (!waiting.isEmpty()) {
+                session.setEvent(SelectionKey.OP_WRITE);
+            }
+        }
+
+        private void end(String code, String what) {
+            if (reason == null) {
+                about = what;
+                reason = code;
+                session.close(CloseMode.IMMEDIATE);
+            }
+        }
+
+        @Override
+        public void timeout(IOSession same, Timeout limit) {
+            // No connection has a time-out: a quiet stream is a stream.
+        }
+
+        @Override
+        public void exception(IOSession same, Exception failure) {
+            if (failure instanceof IOException) {
+                end("reset", failure.getMessage());
+            } else {
+                LOG.error("failure on the connection of {}", name, failure);
+                end("failure", failure.toString());
+            }
+        }
+
+        @Override
+        public void disconnected(IOSession same) {
+            parties.remove(this);
+            unfinished -= resp.held();
+            waiting.clear();
+            if (proxy >= 0) {
+                turns.left(proxy, this);
+            }
+            LOG.info("closed {} from {}: {} {}", name, session.getRemoteAddress(),
+                    reason == null ? "stopping" : reason, about);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/net/Tables.java
@@ -0,0 +1,273 @@
+package rockshift.net;
+
+import java.io.ByteArrayOutputStream;
+import java.math.BigDecimal;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.StringJoiner;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.LongConsumer;
+import java.util.function.LongFunction;
+import java.util.regex.Pattern;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import rockshift.Orders;
+
+/**
+ * What each table, level, binding and withdrawal stands at, and so what each joined proxy is sent: one
+ * message a turn. It is used by the thread of {@link Turns} alone. It must never decide what stands in a
+ * table, hold a message back, or add a line that the module is not told of.
+ */
+final class Tables implements Orders {
+    private static final Logger LOG = LoggerFactory.getLogger(Tables.class);
+    private static final Pattern NUMBERED = Pattern.compile("replica (\\d+)");
+
+    /** Where a proxy's messages go. */
+    interface Stream {
+        void send(byte[] message);
+    }
+
+    private record Level(int classes, double level, int again) { }
+
+    private static final class Table {
+        final TreeMap<Long, Double> lines = new TreeMap<>();
+        final LinkedHashMap<Integer, Level> levels = new LinkedHashMap<>();
+        /** What this turn changed. */
+        final TreeMap<Long, Double> newLines = new TreeMap<>();
+        final LinkedHashMap<Integer, Level> newLevels = new LinkedHashMap<>();
+    }
+
+    /** A joined proxy. */
+    private static final class Seat {
+        final Stream stream;
+        /** Tables, with the classes that they are for; those bound in this turn. */
+        final TreeMap<Integer, Integer> bound = new TreeMap<>();
+        final Set<Integer> fresh = new TreeSet<>();
+        /** Replicas that this turn shuts out or lets back. */
+        final Set<Long> out = new TreeSet<>();
+        final Set<Long> back = new TreeSet<>();
+
+        Seat(Stream stream) {
+            this.stream = stream;
+        }
+
+        /** Whether the message grows by telling the proxy if it may send to a replica. */
+        boolean tell(long replica, boolean shut) {
+            (shut ? back : out).remove(replica);
+            return (shut ? out : back).add(replica);
+        }
+    }
+
+    private final LongFunction<String> names;
+    private final List<String> classes;
+    private final LongConsumer waker;
+    private final Map<Integer, Table> tables = new HashMap<>();
+    private final TreeMap<Integer, Seat> seats = new TreeMap<>();
+    private final Set<Long> withdrawn = new TreeSet<>();
+    /** By proxy: what it was told to keep off. It keeps that across its streams. */
+    private final Map<Integer, Set<Long>> shut = new HashMap<>();
+    private int serial;
+
+    Tables(LongFunction<String> names, List<String> classes, LongConsumer waker) {
+        this.names = names;
+        this.classes = classes;
+        this.waker = waker;
+    }
+
+    /** A proxy is there under a new stream, which holds whatever the proxy held. */
+    void joined(int proxy, Stream stream) {
+        seats.put(proxy, new Seat(stream));
+    }
+
+    void left(int proxy) {
+        seats.remove(proxy);
+    }
+
+    /** Whether this is the stream that a proxy joined with last. */
+    boolean current(int proxy, Stream stream) {
+        Seat seat = seats.get(proxy);
+        return seat != null && seat.stream == stream;
+    }
+
+    @Override
+    public int line(int table, long replica, double weight) {
+        Table changed = tables.computeIfAbsent(table, number -> new Table());
+        boolean enters = weight > 0 && !changed.lines.containsKey(replica);
+        changed.newLines.put(replica, weight);
+        if (weight > 0) {
+            changed.lines.put(replica, weight);
+        } else {
+            changed.lines.remove(replica);
+        }
+        boolean told = false;
+        for (Seat seat : seats.values()) {
+            if (enters && seat.bound.containsKey(table)) {
+                told |= seat.tell(replica, withdrawn.contains(replica));
+            }
+        }
+        return told ? 2 : 1;
+    }
+
+    /**
+     * A proxy keeps what any governor before shut out, and nobody here may know of it: it is told of each
+     * replica in its table whether it may send there.
+     */
+    @Override
+    public int bind(int table, int proxy, int classes) {
+        Seat seat = seats.get(proxy);
+        if (seat == null) {
+            return 0;
+        }
+        seat.bound.put(table, classes);
+        seat.fresh.add(table);
+        int told = 0;
+        for (long replica : tables.computeIfAbsent(table, number -> new Table()).lines.keySet()) {
+            told += seat.tell(replica, withdrawn.contains(replica)) ? 1 : 0;
+        }
+        return told;
+    }
+
+    @Override
+    public void withdraw(long replica, boolean out) {
+        if (out) {
+            withdrawn.add(replica);
+        } else {
+            withdrawn.remove(replica);
+        }
+        seats.forEach((proxy, seat) -> {
+            boolean holds = seat.bound.isEmpty() || seat.bound.keySet().stream()
+                    .anyMatch(table -> tables.get(table).lines.containsKey(replica));
+            if (out ? holds : shut.getOrDefault(proxy, Set.of()).contains(replica)) {
+                seat.tell(replica, out);
+            }
+        });
+    }
+
+    @Override
+    public void admit(int table, int classes, double level, int again) {
+        Table changed = tables.computeIfAbsent(table, number -> new Table());
+        Level to = new Level(classes, level, again);
+        changed.levels.put(classes, to);
+        changed.newLevels.put(classes, to);
+    }
+
+    @Override
+    public void mark(int serial, boolean everyone) {
+        this.serial = serial;
+    }
+
+    @Override
+    public void wake(long delay) {
+        waker.accept(delay);
+    }
+
+    /** The module knows replicas by number; the staff know them by name. */
+    @Override
+    public void log(String line) {
+        LOG.info(NUMBERED.matcher(line).replaceAll(found -> "replica " + java.util.regex.Matcher
+                .quoteReplacement(names.apply(Long.parseLong(found.group(1))))));
+    }
+
+    /** Sends each proxy what this turn ordered for it, as one message. */
+    void flush() {
+        seats.forEach((proxy, seat) -> {
+            List<List<String>> parts = new ArrayList<>();
+            seat.bound.forEach((number, classes) -> {
+                Table table = tables.get(number);
+                boolean whole = seat.fresh.contains(number);
+                tell(parts, classes, whole, whole ? table.lines : table.newLines,
+                        whole ? table.levels : table.newLevels);
+            });
+            if (parts.isEmpty() && (!seat.out.isEmpty() || !seat.back.isEmpty())) {
+                parts.add(new ArrayList<>(List.of(Resp.UPDATE)));
+            }
+            if (!parts.isEmpty()) {
+                close(parts, proxy, seat);
+            }
+            seat.fresh.clear();
+            seat.out.clear();
+            seat.back.clear();
+        });
+        for (Table table : tables.values()) {
+            table.newLines.clear();
+            table.newLevels.clear();
+        }
+        serial = 0;
+    }
+
+    /** Adds the parts that tell one table's lines and levels, if there is anything to tell. */
+    private void tell(List<List<String>> parts, int bits, boolean whole, Map<Long, Double> lines,
+            Map<Integer, Level> levels) {
+        List<String> first = null;
+        if (whole || !lines.isEmpty()) {
+            first = part(parts, bits);
+            if (whole) {
+                first.addAll(List.of(Resp.WHOLE, "1"));
+            }
+            StringJoiner list = new StringJoiner(",");
+            lines.forEach((replica, weight) -> list.add(names.apply(replica) + ":" + plain(weight)));
+            first.addAll(List.of(Resp.LINES, list.toString()));
+        }
+        for (Level level : levels.values()) {
+            int meant = level.classes == 0 ? bits : bits == 0 ? level.classes : bits & level.classes;
+            List<String> part = meant == bits && first != null ? first : part(parts, meant);
+            part.addAll(List.of(Resp.LEVEL, plain(level.level), Resp.AGAIN, Integer.toString(level.again)));
+            first = part == first ? null : first;
+        }
+    }
+
+    private List<String> part(List<List<String>> parts, int bits) {
+        List<String> part = new ArrayList<>(List.of(Resp.UPDATE));
+        if (bits != 0) {
+            StringJoiner meant = new StringJoiner("+");
+            for (int k = 0; k < classes.size(); k++) {
+                if ((bits & 1 << k) != 0) {
+                    meant.add(classes.get(k));
+                }
+            }
+            part.addAll(List.of(Resp.CLASSES, meant.toString()));
+        }
+        parts.add(part);
+        return part;
+    }
+
+    /** Ends a proxy's message with what concerns all its tables, and sends it. */
+    private void close(List<List<String>> parts, int proxy, Seat seat) {
+        List<String> last = parts.get(parts.size() - 1);
+        Set<Long> kept = shut.computeIfAbsent(proxy, number -> new TreeSet<>());
+        if (!seat.out.isEmpty()) {
+            last.addAll(List.of(Resp.OUT, named(seat.out)));
+            kept.addAll(seat.out);
+        }
+        if (!seat.back.isEmpty()) {
+            last.addAll(List.of(Resp.BACK, named(seat.back)));
+            kept.removeAll(seat.back);
+        }
+        if (serial > 0) {
+            last.addAll(List.of(Resp.MARK, Integer.toString(serial)));
+        }
+        ByteArrayOutputStream message = new ByteArrayOutputStream();
+        for (List<String> part : parts) {
+            if (part != last) {
+                part.addAll(List.of(Resp.MORE, "1"));
+            }
+            message.writeBytes(Resp.message(part));
+        }
+        seat.stream.send(message.toByteArray());
+    }
+
+    private String named(Set<Long> replicas) {
+        StringJoiner list = new StringJoiner(",");
+        replicas.forEach(replica -> list.add(names.apply(replica)));
+        return list.toString();
+    }
+
+    private static String plain(double number) {
+        return BigDecimal.valueOf(number).toPlainString();
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/net/Turns.java
@@ -0,0 +1,138 @@
+package rockshift.net;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+import java.util.function.LongFunction;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import rockshift.Listed;
+import rockshift.Logic;
+
+/**
+ * The one thread that owns the module, and the one queue through which all else reaches it. A turn takes in
+ * what is queued, pulls decisions until there is none, and sends what they ordered. It must never wait for a
+ * socket, and nothing that one input does wrong may end it.
+ */
+final class Turns implements Runnable {
+    private static final Logger LOG = LoggerFactory.getLogger(Turns.class);
+    /** Entries that may wait, of about 100 bytes: minutes of what reports may bring a second. */
+    private static final int MOST_WAITING = 50_000;
+    private static final long NANOS_PER_TENTH = 100_000;
+    private static final int TENTHS_PER_MILLI = 10;
+
+    private final LinkedBlockingQueue<LongConsumer> queue = new LinkedBlockingQueue<>();
+    private final long startedAt = System.currentTimeMillis() * TENTHS_PER_MILLI;
+    private final long startedNanos = System.nanoTime();
+    private final Logic logic;
+    private final Tables tables;
+    /** Tenths of a ms between two turns: what is told at start. */
+    private final long spacing;
+    private long wakeAt = Long.MAX_VALUE;
+
+    Turns(long seed, Map<String, String> terms, LongFunction<String> names) {
+        logic = new Logic(now(), seed, terms);
+        List<String> classes = new ArrayList<>();
+        for (int k = 0; terms.containsKey("class." + k + ".name"); k++) {
+            classes.add(terms.get("class." + k + ".name"));
+        }
+        tables = new Tables(names, classes, delay -> wakeAt = now() + delay);
+        spacing = Long.parseLong(terms.getOrDefault("turn.spacing", "0"));
+    }
+
+    /** The module's clock: monotonic, and at Unix time as the process starts, so that starts fit in. */
+    long now() {
+        return startedAt + (System.nanoTime() - startedNanos) / NANOS_PER_TENTH;
+    }
+
+    /** Queues what any thread learned; false where too much waits already. */
+    private boolean offer(LongConsumer input) {
+        return queue.size() < MOST_WAITING && queue.offer(input);
+    }
+
+    boolean joined(int proxy, String zone, double usualRate, Tables.Stream stream) {
+        return offer(now -> {
+            tables.joined(proxy, stream);
+            logic.joined(now, proxy, zone, usualRate);
+        });
+    }
+
+    /** An end is never refused; a stream that was replaced takes nobody with it. */
+    void left(int proxy, Tables.Stream stream) {
+        queue.add(now -> {
+            if (tables.current(proxy, stream)) {
+                tables.left(proxy);
+                logic.left(now, proxy);
+            }
+        });
+    }
+
+    boolean applied(int proxy, int serial, Tables.Stream stream) {
+        return offer(now -> {
+            if (tables.current(proxy, stream)) {
+                logic.caughtUp(now, proxy, serial);
+            }
+        });
+    }
+
+    boolean heard(String zone, long replica, int count, int failed, long took, long span, Double busy) {
+        return offer(now -> logic.heard(now, zone, replica, count, failed, took, span, busy));
+    }
+
+    boolean usage(int proxy, String type, int count, long span) {
+        return offer(now -> logic.usage(now, proxy, type, count, span));
+    }
+
+    /** A list is never refused: it comes one at a time. */
+    void listed(List<Listed> entries, boolean changes) {
+        queue.add(now -> logic.listed(now, entries, changes));
+    }
+
+    @Override
+    public void run() {
+        List<LongConsumer> inputs = new ArrayList<>();
+        try {
+            while (!Thread.currentThread().isInterrupted()) {
+                long pause = Math.max(0, wakeAt - now()) * NANOS_PER_TENTH;
+                LongConsumer first = queue.poll(pause, TimeUnit.NANOSECONDS);
+                if (first != null) {
+                    inputs.add(first);
+                }
+                queue.drainTo(inputs);
+                long now = now();
+                inputs.forEach(input -> guarded(() -> input.accept(now)));
+                inputs.clear();
+                if (now >= wakeAt) {
+                    wakeAt = Long.MAX_VALUE;
+                    guarded(() -> logic.woken(now));
+                }
+                guarded(this::decide);
+                long rest = now + spacing - now();
+                TimeUnit.NANOSECONDS.sleep(Math.max(0, rest) * NANOS_PER_TENTH);
+            }
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void decide() {
+        try {
+            while (logic.decide(tables)) {
+                continue;
+            }
+        } finally {
+            tables.flush();
+        }
+    }
+
+    private static void guarded(Runnable work) {
+        try {
+            work.run();
+        } catch (RuntimeException failure) {
+            LOG.error("failure in the module", failure);
+        }
+    }
+}
--- a/src/test/java/rockshift/FakeHost.java
+++ b/src/test/java/rockshift/FakeHost.java
@@ -108,7 +108,7 @@
     }
 
     @Override
-    public void line(int table, long replica, double weight) {
+    public int line(int table, long replica, double weight) {
         said.add("line " + table + " " + replica);
         TreeMap<Long, Double> lines = tables.computeIfAbsent(table, number -> new TreeMap<>());
         if (weight == 0) {
@@ -116,13 +116,15 @@
         } else {
             lines.put(replica, weight);
         }
+        return 1;
     }
 
     @Override
-    public void bind(int table, int proxy, int classes) {
+    public int bind(int table, int proxy, int classes) {
         said.add("bind " + table + " " + proxy + " " + classes);
         bound.add(proxy);
         binds.put(proxy, table);
+        return 0;
     }
 
     @Override
@@ -136,16 +138,6 @@
         said.add("withdraw " + replica + " " + out);
     }
 
-    @Override
-    public void probe(long replica) {
-        said.add("probe " + replica);
-    }
-
-    @Override
-    public void tell(int governor, byte[] text) {
-        said.add("tell " + governor);
-    }
-
     @Override
     public void mark(int serial, boolean everyone) {
         said.add("mark " + serial);
