Let a watch of discovery last as long as it is held

At fault: Roster passed the limit for connecting to connect(), which also sets the session's time-out for reading. The limit on connecting is now the wait for the future.

--- a/src/main/java/rockshift/net/Roster.java
+++ b/src/main/java/rockshift/net/Roster.java
@@ -122,12 +122,23 @@
         }
     }
 
+    /** The client's own limit also holds for what is read later, so that it leaves room for a watch. */
+    private AsyncClientEndpoint connect() throws ExecutionException, TimeoutException, InterruptedException {
+        Future<AsyncClientEndpoint> connecting =
+                client.connect(host, Timeout.ofMilliseconds(HELD + 2 * LATE));
+        try {
+            return connecting.get(LATE, TimeUnit.MILLISECONDS);
+        } finally {
+            connecting.cancel(true);
+        }
+    }
+
     /** One call: the whole list first, then a watch for what is newer than the list that is held. */
     private Listing ask() throws IOException, ExecutionException, TimeoutException, InterruptedException {
         int limit = version < 0 ? PROMPT : HELD + LATE;
         if (endpoint == null || !endpoint.isConnected()) {
             drop();
-            endpoint = client.connect(host, Timeout.ofMilliseconds(LATE)).get(LATE, TimeUnit.MILLISECONDS);
+            endpoint = connect();
         }
         String path = "/discovery/hosts" + (version < 0 ? "" : "?index=" + version + "&wait=" + HELD);
         Future<Message<HttpResponse, byte[]>> call = endpoint.execute(
--- a/src/main/java/rockshift/net/Streams.java
+++ b/src/main/java/rockshift/net/Streams.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.util.Iterator;
@@ -90,12 +91,14 @@
         private final AtomicInteger unread = new AtomicInteger();
         private volatile String reason;
         private String about = "";
+        private final SocketAddress from;
         private String name = "stranger";
         private boolean collector;
         private int proxy = -1;
 
         Party(IOSession session) {
             this.session = session;
+            from = session.getRemoteAddress();
         }
 
         @Override
@@ -274,8 +277,7 @@
             if (proxy >= 0) {
                 turns.left(proxy, this);
             }
-            LOG.info("closed {} from {}: {} {}", name, session.getRemoteAddress(),
-                    reason == null ? "stopping" : reason, about);
+            LOG.info("closed {} from {}: {} {}", name, from, reason == null ? "stopping" : reason, about);
         }
     }
 }
