--- a/src/main/java/rockshift/net/Resp.java
+++ b/src/main/java/rockshift/net/Resp.java
@@ -191,13 +191,22 @@
     /** A field's value, or null where the message has none. */
     private String find(String name) {
         for (int i = 1; i < strings; i += 2) {
-            if (string(i).equals(name)) {
+            if (is(i, name)) {
                 return string(i + 1);
             }
         }
         return null;
     }
 
+    /** Compares in place: a message may bring very many names. */
+    private boolean is(int i, String name) {
+        boolean same = cuts[2 * i + 1] - cuts[2 * i] == name.length();
+        for (int k = 0; same && k < name.length(); k++) {
+            same = bytes[cuts[2 * i] + k] == name.charAt(k);
+        }
+        return same;
+    }
+
     String text(String name) throws Broken {
         String value = find(name);
         if (value == null) {
--- a/src/main/java/rockshift/net/Roster.java
+++ b/src/main/java/rockshift/net/Roster.java
@@ -100,9 +100,10 @@
                     Listing listing = ask();
                     version = listing.version;
                     take(listing, names, turns);
-                } catch (IOException | ExecutionException | TimeoutException failure) {
+                } catch (IOException | ExecutionException | TimeoutException | RuntimeException failure) {
+                    // The client answers with one of the last kind where a connection ends under a call.
                     Throwable cause = failure instanceof ExecutionException ? failure.getCause() : failure;
-                    LOG.warn("discovery: {}, list of version {} kept", cause.toString(), version);
+                    LOG.warn("discovery: {}, list of version {} kept", firstLine(cause), version);
                     drop();
                     TimeUnit.MILLISECONDS.sleep(PAUSE);
                 }
@@ -115,6 +116,10 @@
         }
     }
 
+    private static String firstLine(Throwable cause) {
+        return cause.toString().lines().findFirst().orElse("");
+    }
+
     private void drop() {
         if (endpoint != null) {
             endpoint.releaseAndDiscard();
@@ -195,10 +200,10 @@
             String name = json.currentName();
             json.nextToken();
             switch (name) {
-                case "instanceId" -> id = json.getText();
-                case "zone" -> zone = json.getText();
-                case "machineType" -> kind = json.getText();
-                case "lifecycle" -> health = Terms.health(json.getText());
+                case "instanceId" -> id = text(json);
+                case "zone" -> zone = text(json);
+                case "machineType" -> kind = text(json);
+                case "lifecycle" -> health = Terms.health(text(json));
                 case "startedAtMs" -> started = Math.round(json.getDoubleValue() * TENTHS_PER_MILLI);
                 default -> json.skipChildren();
             }
@@ -211,6 +216,11 @@
         return new Listed(number, zone, kind, health, started);
     }
 
+    private static String text(JsonParser json) throws IOException {
+        expect(json, JsonToken.VALUE_STRING);
+        return json.getText();
+    }
+
     private static void expect(JsonParser json, JsonToken token) throws IOException {
         if (json.currentToken() != token) {
             throw new JsonParseException(json, "expected " + token + ", found " + json.currentToken());
--- a/src/main/java/rockshift/net/Serve.java
+++ b/src/main/java/rockshift/net/Serve.java
@@ -13,9 +13,9 @@
  */
 public final class Serve implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Serve.class);
-    /** Exit statuses: a file that can't be used, an address that can't be listened on. */
+    /** Exit statuses: a file that can't be used, and all else that keeps it from serving. */
     private static final int UNUSABLE = 2;
-    private static final int TAKEN = 1;
+    private static final int FAILED = 1;
 
     private final Thread turning;
     private final Thread watching;
@@ -47,13 +47,25 @@
     }
 
     @Override
-    public void close() {
-        streams.close();
+    public void close() throws InterruptedException {
         watching.interrupt();
+        streams.close();
         turning.interrupt();
     }
 
-    /** Serves until the process is told to end; answers an exit status where it can't begin. */
+    /** What happens once the process is told to end: nothing is left to wait for. */
+    private static void stop(Serve serve, String name) {
+        try {
+            LOG.info("{} stops", name);
+            serve.close();
+        } catch (InterruptedException hurried) {
+            Thread.currentThread().interrupt();
+        } finally {
+            Runtime.getRuntime().halt(0);
+        }
+    }
+
+    /** Serves until the process is told to end; answers an exit status where it can't begin or go on. */
     public static int run(Map<String, String> environment) throws InterruptedException {
         Charter charter;
         try {
@@ -67,14 +79,10 @@
             serve = new Serve(charter);
         } catch (IOException failure) {
             System.err.println("cannot listen on " + charter.listen() + ": " + failure.getMessage());
-            return TAKEN;
+            return FAILED;
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            LOG.info("{} stops", charter.name());
-            serve.close();
-            Runtime.getRuntime().halt(0);
-        }, "stop"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(serve, charter.name()), "stop"));
         serve.turning.join();
-        return 0;
+        return FAILED;
     }
 }
--- a/src/main/java/rockshift/net/Streams.java
+++ b/src/main/java/rockshift/net/Streams.java
@@ -19,6 +19,7 @@
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
+import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -34,12 +35,18 @@
     private static final int PIECE = 1 << 16;
     /** Bytes that a party may leave unread before its connection is reset: the protocol's figure. */
     private static final int UNREAD = 128 << 10;
-    /** Bytes of all unfinished long messages together: a sixth of the memory that we are given. */
-    private static final int UNFINISHED = 32 << 20;
+    /** The same for answers to its pings, which it can have as many of as it likes: some hundred. */
+    private static final int UNREAD_PONGS = 2 << 10;
+    /** Bytes of all unfinished long messages together: a third of the heap. */
+    private static final int UNFINISHED = 20 << 20;
+    /** Characters of what is logged of a party's own words. */
+    private static final int QUOTED = 100;
     /** Connections that may wait to be accepted: all proxies dialling at once. */
     private static final int BACKLOG = 1024;
     /** Descriptors that are not for parties: the program's files, selectors, listener and discovery. */
     private static final int RESERVED = 64;
+    /** Ms for ending all connections: a planned restart leaves 0.7 s. */
+    private static final int FAREWELL = 300;
     private static final int TENTHS_PER_MILLI = 10;
     private static final byte[] PONG = Resp.message(List.of(Resp.PONG));
 
@@ -65,7 +72,8 @@
         IOReactorConfig one = IOReactorConfig.custom().setIoThreadCount(1).setBacklogSize(BACKLOG)
                 .setSoReuseAddress(true).setTcpNoDelay(true).build();
         reactor = new DefaultListeningIOReactor((session, attachment) -> new Party(session), one, null, null,
-                null, failure -> LOG.error("failure of the listener", failure), null, null);
+                null, failure -> LOG.error("failure of the listener", failure), null,
+                session -> session.close(CloseMode.IMMEDIATE));
     }
 
     /** Answers the port. */
@@ -79,8 +87,10 @@
         }
     }
 
-    void close() {
-        reactor.close(CloseMode.IMMEDIATE);
+    /** Ends all connections. The reactor's threads close what is theirs, and are given a moment for it. */
+    void close() throws InterruptedException {
+        reactor.initiateShutdown();
+        reactor.awaitShutdown(TimeValue.ofMilliseconds(FAREWELL));
     }
 
     /** One connection and who is at its other end. */
@@ -130,7 +140,7 @@
                 end("left", "");
                 return;
             }
-            unfinished -= resp.held();
+            unfinished -= resp.held() - Resp.USUAL;
             try {
                 resp.feed(piece.flip());
                 while (reason == null && resp.next()) {
@@ -141,9 +151,9 @@
             } catch (Resp.Broken broken) {
                 end(broken.code, broken.getMessage());
             } finally {
-                unfinished += resp.held();
+                unfinished += resp.held() - Resp.USUAL;
             }
-            if (unfinished > UNFINISHED + (long) Resp.USUAL * parties.size() && resp.held() > Resp.USUAL) {
+            if (unfinished > UNFINISHED && resp.held() > Resp.USUAL) {
                 end("flood", "too many unfinished messages");
             }
         }
@@ -152,7 +162,7 @@
         private boolean take() throws Resp.Broken {
             return switch (resp.kind()) {
                 case Resp.PING -> {
-                    send(PONG);
+                    send(PONG, UNREAD_PONGS);
                     yield true;
                 }
                 case Resp.COLLECTOR -> {
@@ -220,11 +230,16 @@
             return (long) (resp.number(name) * TENTHS_PER_MILLI);
         }
 
-        /** Called by any thread; the reactor's writes. */
+        /** Called by the module's thread; the reactor's writes. */
         @Override
         public void send(byte[] message) {
-            if (unread.getAndAdd(message.length) > UNREAD) {
-                end("unread", unread.get() + " bytes wait");
+            send(message, UNREAD);
+        }
+
+        private void send(byte[] message, int most) {
+            int before = unread.getAndAdd(message.length);
+            if (before > most) {
+                end("unread", before + " bytes wait");
             } else if (reason == null) {
                 waiting.add(ByteBuffer.wrap(message));
                 session.setEvent(SelectionKey.OP_WRITE);
@@ -248,7 +263,7 @@
 
         private void end(String code, String what) {
             if (reason == null) {
-                about = what;
+                about = what.substring(0, Math.min(QUOTED, what.length())).replaceAll("\\p{Cntrl}", "?");
                 reason = code;
                 session.close(CloseMode.IMMEDIATE);
             }
@@ -262,7 +277,7 @@
         @Override
         public void exception(IOSession same, Exception failure) {
             if (failure instanceof IOException) {
-                end("reset", failure.getMessage());
+                end("reset", String.valueOf(failure.getMessage()));
             } else {
                 LOG.error("failure on the connection of {}", name, failure);
                 end("failure", failure.toString());
@@ -272,7 +287,7 @@
         @Override
         public void disconnected(IOSession same) {
             parties.remove(this);
-            unfinished -= resp.held();
+            unfinished -= resp.held() - Resp.USUAL;
             waiting.clear();
             if (proxy >= 0) {
                 turns.left(proxy, this);
--- a/src/main/java/rockshift/net/Tables.java
+++ b/src/main/java/rockshift/net/Tables.java
@@ -13,6 +13,7 @@
 import java.util.TreeSet;
 import java.util.function.LongConsumer;
 import java.util.function.LongFunction;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -169,7 +170,7 @@
     /** The module knows replicas by number; the staff know them by name. */
     @Override
     public void log(String line) {
-        LOG.info(NUMBERED.matcher(line).replaceAll(found -> "replica " + java.util.regex.Matcher
+        LOG.info(NUMBERED.matcher(line).replaceAll(found -> "replica " + Matcher
                 .quoteReplacement(names.apply(Long.parseLong(found.group(1))))));
     }
 
--- /dev/null
+++ b/src/test/java/rockshift/net/GovernorTest.java
@@ -0,0 +1,467 @@
+package rockshift.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Stories of a governor on real loopback sockets, with a stand-in for discovery. */
+class GovernorTest {
+    /** Ms until a condition that does not come true fails a story, however busy the machine. */
+    private static final int LONG = 60_000;
+    private static final String TERMS = "{\"dcs\":[\"east\",\"west\"],\"granularity_us\":5000,"
+            + "\"classes\":[{\"name\":\"cut\",\"worth\":1.0},{\"name\":\"licence\",\"worth\":2.0}],"
+            + "\"domain\":{\"proxy_count\":8,\"channel_rate\":5000,\"backlog\":5000.0,\"fixed_cost\":3.0},"
+            + "\"invariants\":{\"start_capacity\":0.2,\"warm_after_us\":600000000,\"fall_multiple\":4.0}}";
+
+    @TempDir
+    Path folder;
+    private final Discovery discovery = new Discovery();
+    private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+    private final PrintStream usual = System.err;
+    private final List<AutoCloseable> open = new ArrayList<>();
+
+    @BeforeEach
+    void listen() {
+        System.setErr(new PrintStream(logged, true, StandardCharsets.UTF_8));
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+        discovery.close();
+        System.setErr(usual);
+    }
+
+    // ---- the stand-in and the parties ----
+
+    /** Answers one call after another with what was laid ready; a call that finds nothing is held. */
+    private static final class Discovery implements AutoCloseable {
+        final LinkedBlockingQueue<String> answers = new LinkedBlockingQueue<>();
+        final List<String> calls = new CopyOnWriteArrayList<>();
+        private final ServerSocket listener;
+
+        Discovery() {
+            try {
+                listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            } catch (IOException failure) {
+                throw new AssertionError(failure);
+            }
+            Thread thread = new Thread(this::answer, "discovery");
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        private void answer() {
+            while (!listener.isClosed()) {
+                try (Socket socket = listener.accept()) {
+                    for (String call = call(socket); call != null; call = call(socket)) {
+                        calls.add(call);
+                        String answer = answers.take();
+                        socket.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+                        if (!answer.startsWith("HTTP/1.1 200") || answer.endsWith("half")) {
+                            break;
+                        }
+                    }
+                } catch (IOException ended) {
+                    // The governor dials again, or the story is over.
+                } catch (InterruptedException ended) {
+                    return;
+                }
+            }
+        }
+
+        private static String call(Socket socket) throws IOException {
+            StringBuilder head = new StringBuilder();
+            for (int b = 0; head.indexOf("\r\n\r\n") < 0; head.append((char) b)) {
+                b = socket.getInputStream().read();
+                if (b < 0) {
+                    return null;
+                }
+            }
+            return head.substring(0, head.indexOf("\r\n"));
+        }
+
+        void say(String body) {
+            answers.add("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        }
+
+        @Override
+        public void close() throws IOException {
+            listener.close();
+        }
+    }
+
+    private static String entry(String name, String health, long startedMillis) {
+        return "{\"instanceId\":\"" + name + "\",\"hostPort\":\"127.0.0.1:1\",\"zone\":\"east\",\"machineType\":\"m\","
+                + "\"cell\":0,\"lifecycle\":\"" + health + "\",\"weight\":1.0,\"startedAtMs\":" + startedMillis
+                + ",\"later\":{\"x\":[1]}}";
+    }
+
+    private static String list(int version, boolean whole, String... entries) {
+        return "{\"generation\":" + version + ",\"reset\":" + whole + ",\"instances\":["
+                + String.join(",", entries) + "],\"later\":[{}]}";
+    }
+
+    private String charter(String listen, int sockets, String terms, String... known) throws IOException {
+        String text = "{\"name\":\"n1\",\"listen\":\"" + listen + "\",\"discovery\":\"127.0.0.1:"
+                + discovery.listener.getLocalPort() + "\",\"seed\":\"fe429af2f6dae94c\",\"peers\":[\"x\"],"
+                + "\"limits\":{\"cores\":1.0,\"sockets\":" + sockets + "},\"known\":" + list(7, true, known)
+                + ",\"settings\":" + terms + "}";
+        return Files.writeString(folder.resolve("charter.json"), text).toString();
+    }
+
+    private Serve serve(int sockets, String... known) throws Exception {
+        Serve serve = new Serve(Charter.read(charter("127.0.0.1:0", sockets, TERMS, known)));
+        open.add(serve);
+        return serve;
+    }
+
+    private Serve serve() throws Exception {
+        return serve(1024, entry("s-1", "Ready", 0), entry("s-2", "Ready", 0));
+    }
+
+    /** A proxy, a collector or a stranger. */
+    private final class Peer implements AutoCloseable {
+        final Socket socket;
+        private final Resp resp = new Resp();
+
+        Peer(Serve serve) throws IOException {
+            socket = new Socket(InetAddress.getLoopbackAddress(), serve.port());
+            socket.setSoTimeout(LONG);
+            open.add(this);
+        }
+
+        Peer say(String words) throws IOException {
+            socket.getOutputStream().write(Resp.message(List.of(words.split(" "))));
+            return this;
+        }
+
+        /** The next part of a message, its kind under the empty name. */
+        Map<String, String> hear() throws IOException, Resp.Broken {
+            byte[] piece = new byte[4096];
+            while (!resp.next()) {
+                int count = socket.getInputStream().read(piece);
+                assertThat(count).as("the connection is up").isPositive();
+                resp.feed(ByteBuffer.wrap(piece, 0, count));
+            }
+            Map<String, String> part = new TreeMap<>(Map.of("", resp.kind()));
+            for (String name : List.of("classes", "whole", "lines", "level", "retry", "out", "back", "ticket",
+                    "more")) {
+                try {
+                    part.put(name, resp.text(name));
+                } catch (Resp.Broken absent) {
+                    continue;
+                }
+            }
+            return part;
+        }
+
+        /** Reads on until a part has a field with such a value in it. */
+        Map<String, String> hear(String field, String value) throws IOException, Resp.Broken {
+            Map<String, String> part = hear();
+            while (!part.getOrDefault(field, "").contains(value)) {
+                part = hear();
+            }
+            return part;
+        }
+
+        /** Asks whether the governor is there, and reads on until it says so. */
+        void assertAnswered() throws IOException, Resp.Broken {
+            say("ping");
+            while (!hear().get("").equals("pong")) {
+                continue;
+            }
+        }
+
+        /** Waits until the governor has ended the connection. */
+        void ended() throws IOException {
+            InputStream in = socket.getInputStream();
+            byte[] piece = new byte[4096];
+            try {
+                while (in.read(piece) >= 0) {
+                    continue;
+                }
+            } catch (SocketTimeoutException alive) {
+                throw new AssertionError("the connection is still up", alive);
+            } catch (IOException reset) {
+                // As it should be.
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    private Peer proxy(Serve serve, int number) throws IOException {
+        return new Peer(serve).say("joined sidecar " + number + " az east share 21.5 standing 1");
+    }
+
+    private void await(String what, BooleanSupplier condition) {
+        for (long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LONG); !condition.getAsBoolean();) {
+            assertThat(System.nanoTime()).as(what).isLessThan(end);
+            Thread.onSpinWait();
+        }
+    }
+
+    private void awaitLog(String text) {
+        await("logged: " + text, () -> logged.toString(StandardCharsets.UTF_8).contains(text));
+    }
+
+    // ---- proxies ----
+
+    @Test
+    void aProxyThatJoinsIsSentItsTablesAndAnswersTheMark() throws Exception {
+        Peer proxy = proxy(serve(), 3);
+        Map<String, String> first = proxy.hear();
+        assertThat(first).containsEntry("", "update").containsEntry("classes", "cut").containsEntry("whole", "1")
+                .containsEntry("more", "1").doesNotContainKey("ticket");
+        assertThat(first.get("lines").split(",")).hasSize(2).allMatch(line -> line.matches("s-[12]:0\\.5"));
+        Map<String, String> last = proxy.hear();
+        assertThat(last).containsEntry("classes", "licence").containsKey("ticket").doesNotContainKey("more");
+        assertThat(last.get("back").split(",")).containsExactlyInAnyOrder("s-1", "s-2");
+        proxy.say("applied sidecar 3 version " + last.get("ticket") + " lag_ms 310.4");
+        proxy.assertAnswered();
+    }
+
+    @Test
+    void bytesMayComeOneAtATime() throws Exception {
+        Serve serve = serve();
+        Peer proxy = new Peer(serve);
+        proxy.socket.setTcpNoDelay(true);
+        for (byte b : Resp.message(List.of("joined sidecar 3 az east share 21.5 standing 1".split(" ")))) {
+            proxy.socket.getOutputStream().write(b);
+            new Peer(serve).assertAnswered();
+        }
+        assertThat(proxy.hear()).containsEntry("whole", "1");
+    }
+
+    /** A proxy dials again before its old stream is seen to end: the late end takes nobody with it. */
+    @Test
+    void theLateEndOfAReplacedStreamIsNoLeaving() throws Exception {
+        Serve serve = serve();
+        Peer old = proxy(serve, 3);
+        old.hear("ticket", "");
+        Peer fresh = proxy(serve, 3);
+        fresh.hear("whole", "1");
+        old.close();
+        awaitLog("closed proxy 3");
+        discovery.say(list(8, true, entry("s-1", "Ready", 0), entry("s-2", "Terminating", 0)));
+        assertThat(fresh.hear("lines", "s-2:0.0")).doesNotContainKey("whole");
+    }
+
+    /** Both clocks meet: a replica that started a moment ago is cold, as the module must see. */
+    @Test
+    void aReplicaThatHasJustStartedGetsTheWeightOfAColdOne() throws Exception {
+        Peer proxy = proxy(serve(1024, entry("s-1", "Ready", 0),
+                entry("s-2", "Ready", System.currentTimeMillis())), 3);
+        String[] lines = proxy.hear().get("lines").split(",");
+        double cold = 0;
+        for (String line : lines) {
+            cold += line.startsWith("s-2:") ? Double.parseDouble(line.substring(4)) : 0;
+        }
+        assertThat(cold).isPositive().isLessThan(0.3);
+    }
+
+    @Test
+    void whatProxiesMetReachesTheModule() throws Exception {
+        Serve serve = serve(1024, entry("s-1", "Ready", 0), entry("s-2", "Ready", 0), entry("s-3", "Ready", 0));
+        proxy(serve, 3).hear();
+        Peer collector = new Peer(serve).say("collector az east");
+        for (int i = 1; i <= 3; i++) {
+            collector.say("heard az east host s-" + i + " n 50 bad " + (i == 3 ? 50 : 0)
+                    + " avg 41.7 window 1000.0 report inflight:7,util:0.61 later x");
+            collector.say("heard az east host s-unlisted n 5 bad 1 avg 41.7 window 1000.0");
+            collector.say("usage sidecar 3 kind cut n 19 bad 0 window 1000.0");
+            collector.say("usage sidecar 7 kind cut n 19 bad 0 window 1000.0");
+        }
+        awaitLog("replica s-3 shunned");
+        collector.assertAnswered();
+    }
+
+    // ---- peers that do harm ----
+
+    @ParameterizedTest
+    @CsvSource({"hello, unknown-kind", "joined az east share 1 standing 1, bad-field",
+        "joined sidecar 8 az east share 1 standing 1, bad-field", "joined sidecar -1 az east share 1, bad-field",
+        "joined sidecar 1 az north share 1 standing 1, bad-field", "joined sidecar 1 az east share x, bad-field",
+        "joined sidecar 1.5 az east share 1 standing 1, bad-field", "collector az north, bad-field",
+        "heard az east host s-1 n 1 bad 0 avg 1 window 1, unexpected", "applied sidecar 1 version 1, unexpected",
+        "usage sidecar 1 kind cut n 1 bad 0 window 1, unexpected", "joined sidecar, malformed"})
+    void aMessageThatCannotBeUsedEndsItsConnectionAlone(String words, String code) throws Exception {
+        Serve serve = serve();
+        Peer proxy = proxy(serve, 3);
+        proxy.hear("ticket", "");
+        new Peer(serve).say(words).ended();
+        awaitLog(code);
+        assertThat(logged.toString(StandardCharsets.UTF_8).lines().filter(line -> line.contains("closed")))
+                .as("one line for the connection").hasSize(1);
+        proxy.assertAnswered();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"heard az east host s-1 n 1 bad 2 avg 1 window 1", "heard az east host s-1 n 1 bad 0 avg 1",
+        "heard az east host s-1 n 1 bad 0 avg 1 window 1 report util:much", "usage sidecar 1 kind none n 1 window 1",
+        "collector az west", "joined sidecar 1 az east share 1 standing 1"})
+    void aCollectorThatGarblesItsReportsIsEnded(String words) throws Exception {
+        Serve serve = serve();
+        new Peer(serve).say("collector az east").say(words).ended();
+        awaitLog("closed collector of east");
+        new Peer(serve).assertAnswered();
+    }
+
+    /** Descriptors run out else, and with them the program. */
+    @Test
+    void strangersThatSayNothingMakeRoomForProxies() throws Exception {
+        Serve serve = serve(64 + 4, entry("s-1", "Ready", 0));
+        Peer proxy = proxy(serve, 3);
+        proxy.hear();
+        List<Peer> strangers = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            strangers.add(new Peer(serve));
+        }
+        strangers.get(0).ended();
+        assertThat(proxy(serve, 4).hear()).containsEntry("whole", "1");
+        proxy.assertAnswered();
+        awaitLog("crowded");
+    }
+
+    @Test
+    void aPartyThatLeavesItsAnswersUnreadIsReset() throws Exception {
+        Serve serve = serve();
+        Peer deaf = new Peer(serve);
+        byte[] ping = Resp.message(List.of("ping"));
+        ByteBuffer many = ByteBuffer.allocate(ping.length * 5000);
+        while (many.hasRemaining()) {
+            many.put(ping);
+        }
+        assertThatThrownBy(() -> {
+            for (int i = 0; i < 5000; i++) {
+                deaf.socket.getOutputStream().write(many.array());
+            }
+        }).as("350 MB of questions").isInstanceOf(IOException.class);
+        awaitLog("unread");
+        new Peer(serve).assertAnswered();
+    }
+
+    /** Each may hold a mebibyte, and many together would hold all the memory. */
+    @Test
+    void unfinishedLongMessagesAreBoundedAllTogether() throws Exception {
+        Serve serve = serve();
+        byte[] long1 = Resp.message(List.of("heard", "host", "x".repeat(900_000)));
+        for (int i = 0; i < 60; i++) {
+            try {
+                new Peer(serve).socket.getOutputStream().write(long1, 0, 850_000);
+            } catch (IOException ended) {
+                continue;
+            }
+        }
+        awaitLog("flood");
+        new Peer(serve).assertAnswered();
+    }
+
+    // ---- discovery ----
+
+    @Test
+    void theWholeListIsFollowedByWatchesOfWhatIsNewer() throws Exception {
+        Peer proxy = proxy(serve(), 3);
+        proxy.hear("ticket", "");
+        discovery.say(list(41, true, entry("s-1", "Ready", 0), entry("s-3", "Ready", 0)));
+        assertThat(proxy.hear("lines", "s-2:0.0").get("lines")).as("not on the list").contains("s-3:");
+        discovery.say(list(43, false, entry("s-1", "Gone", 0)));
+        proxy.hear("lines", "s-1:0.0");
+        discovery.say(list(43, false));
+        await("a third watch", () -> discovery.calls.size() == 4);
+        assertThat(discovery.calls).containsExactly("GET /discovery/hosts HTTP/1.1",
+                "GET /discovery/hosts?index=41&wait=20000 HTTP/1.1",
+                "GET /discovery/hosts?index=43&wait=20000 HTTP/1.1",
+                "GET /discovery/hosts?index=43&wait=20000 HTTP/1.1");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", "nonsense",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"half", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"a\":1,,}",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\nhalf", "HTTP/1.1 200 OK\r\n\r\nhalf"})
+    void anAnswerThatCannotBeReadKeepsTheListAndIsAskedForAgain(String answer) throws Exception {
+        Peer proxy = proxy(serve(), 3);
+        proxy.hear("ticket", "");
+        discovery.answers.add(answer);
+        awaitLog("discovery: ");
+        discovery.say(list(41, true, entry("s-1", "Ready", 0), entry("s-2", "Ready", 0), entry("s-3", "Ready", 0)));
+        assertThat(proxy.hear("lines", "s-3:").get("lines")).as("nothing was lost").doesNotContain(":0.0,");
+    }
+
+    // ---- start ----
+
+    @ParameterizedTest
+    @CsvSource({"listen, field listen is missing", "discovery, field discovery is missing", "seed, field seed",
+        "known, field known", "dcs, (zones)", "classes, (classes)", "proxy_count, (proxies)"})
+    void aCharterThatLacksWhatIsNeededIsNamedWithTheField(String field, String told) throws Exception {
+        String file = charter("127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0));
+        Files.writeString(Path.of(file), Files.readString(Path.of(file)).replace("\"" + field + "\"", "\"other\""));
+        assertThat(Serve.run(Map.of("RELAY_CONFIG", file))).isEqualTo(2);
+        assertThat(logged.toString(StandardCharsets.UTF_8).trim()).contains(file, told).doesNotContain("\n");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"'', JSON", "'[]', JSON", "'{\"seed\":\"x\"}', seed", "'{\"listen\":\"x\"}', listen", "'{\"known\":3}', known"})
+    void aCharterThatIsNoJsonOrGarbledIsNamed(String text, String told) throws Exception {
+        String file = Files.writeString(folder.resolve("garbled.json"), text).toString();
+        assertThat(Serve.run(Map.of("RELAY_CONFIG", file))).isEqualTo(2);
+        assertThat(Serve.run(Map.of("RELAY_CONFIG", file + ".missing"))).isEqualTo(2);
+        assertThat(logged.toString(StandardCharsets.UTF_8).lines()).hasSize(2).first().asString().contains(file, told);
+    }
+
+    @Test
+    void aPortInUseIsOneLineAndAStatus() throws Exception {
+        try (ServerSocket taken = new ServerSocket()) {
+            taken.bind(new InetSocketAddress("127.0.0.1", 0));
+            String address = "127.0.0.1:" + taken.getLocalPort();
+            assertThat(Serve.run(Map.of("RELAY_CONFIG", charter(address, 1024, TERMS)))).isEqualTo(1);
+            assertThat(logged.toString(StandardCharsets.UTF_8).trim()).contains(address).doesNotContain("\n");
+        }
+    }
+
+    /** What the module fails at is logged each time, and the sockets go on. */
+    @Test
+    void aFailureInTheModuleIsLoggedAndEndsNothing() throws Exception {
+        String terms = TERMS.replace("\"fixed_cost\":3.0", "\"push_price\":\"dear\"");
+        Serve serve = new Serve(Charter.read(charter("127.0.0.1:0", 1024, terms, entry("s-1", "Ready", 0))));
+        open.add(serve);
+        Peer proxy = proxy(serve, 3);
+        awaitLog("failure in the module");
+        proxy.assertAnswered();
+    }
+}
--- /dev/null
+++ b/src/test/java/rockshift/net/RespTest.java
@@ -0,0 +1,82 @@
+package rockshift.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class RespTest {
+    private final Resp resp = new Resp();
+
+    private List<String> kinds(byte[] came) throws Resp.Broken {
+        List<String> kinds = new ArrayList<>();
+        resp.feed(ByteBuffer.wrap(came));
+        while (resp.next()) {
+            kinds.add(resp.kind());
+        }
+        return kinds;
+    }
+
+    @Test
+    void aMessageThatComesByteByByteIsReadOnceItIsWhole() throws Resp.Broken {
+        byte[] message = Resp.message(List.of("applied", "sidecar", "17", "version", "905"));
+        for (int i = 0; i < message.length - 1; i++) {
+            assertThat(kinds(new byte[] {message[i]})).isEmpty();
+        }
+        resp.feed(ByteBuffer.wrap(message, message.length - 1, 1));
+        assertThat(resp.next()).isTrue();
+        assertThat(resp.whole("version")).isEqualTo(905);
+    }
+
+    /** Long messages make the buffer grow; what follows them in the same piece must not be lost. */
+    @Test
+    void manyMessagesOfAllSizesInOnePieceAreAllRead() throws Resp.Broken {
+        StringBuilder all = new StringBuilder();
+        List<String> sent = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            List<String> message = List.of("k" + i, "padding", "x".repeat(i * i / 10));
+            sent.add(message.get(0));
+            all.append(new String(Resp.message(message), StandardCharsets.US_ASCII));
+        }
+        byte[] bytes = all.toString().getBytes(StandardCharsets.US_ASCII);
+        List<String> read = new ArrayList<>();
+        for (int at = 0, step = 1; at < bytes.length; at += step, step = step * 3 % 8191) {
+            read.addAll(kinds(Arrays.copyOfRange(bytes, at, Math.min(bytes.length, at + step))));
+        }
+        assertThat(read).isEqualTo(sent);
+        assertThat(resp.held()).as("what was needed once is given back").isLessThan(8 * Resp.USUAL);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"PING~~, malformed", "*1~$-1~, malformed", "*0~, malformed", "*-1~, malformed", "*x~, malformed",
+        "*2~$4~ping~$1~a~, malformed", "*1~+ping~, malformed", "*1~$4~pingXX, malformed", "*99999999~, malformed",
+        "*1~$1048577~, too-long"})
+    void whatIsNoMessageIsNamed(String bytes, String code) {
+        assertThatThrownBy(() -> kinds(bytes.replace("~", "\r\n").getBytes(StandardCharsets.US_ASCII)))
+                .isInstanceOfSatisfying(Resp.Broken.class, broken -> assertThat(broken.code).isEqualTo(code));
+    }
+
+    /** Strings that are each short enough may not add up to more than a message may hold. */
+    @Test
+    void aMessageMayHoldAMebibyteAndNoMore() throws Resp.Broken {
+        assertThat(kinds(Resp.message(List.of("k", "a", "x".repeat((1 << 20) - 100))))).containsExactly("k");
+        String half = "x".repeat(1 << 19);
+        assertThatThrownBy(() -> kinds(Resp.message(List.of("k", half, half))))
+                .isInstanceOfSatisfying(Resp.Broken.class, broken -> assertThat(broken.code).isEqualTo("too-long"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"-1", "x", "NaN", "Infinity", "1e999", "''"})
+    void aNumberThatCannotBeUsedIsNoNumber(String text) throws Resp.Broken {
+        resp.feed(ByteBuffer.wrap(Resp.message(List.of("joined", "share", text))));
+        resp.next();
+        assertThatThrownBy(() -> resp.number("share")).isInstanceOf(Resp.Broken.class);
+    }
+}
--- /dev/null
+++ b/src/test/java/rockshift/net/TablesTest.java
@@ -0,0 +1,121 @@
+package rockshift.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class TablesTest {
+    private final Tables tables = new Tables(Map.of(1L, "one", 2L, "two", 3L, "three")::get,
+            List.of("cut", "licence"), delay -> { });
+
+    /** A stream that writes down the messages, a line each; their parts stand apart by a bar. */
+    private static final class Paper extends ArrayList<String> implements Tables.Stream {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        public void send(byte[] message) {
+            String text = new String(message, StandardCharsets.US_ASCII);
+            add(text.replaceAll("\\$\\d+\r\n", "").replaceAll("^\\*\\d+\r\n", "")
+                    .replaceAll("\\*\\d+\r\n", "| ").replace("\r\n", " ").trim());
+        }
+    }
+
+    private Paper join(int proxy) {
+        Paper paper = new Paper();
+        tables.joined(proxy, paper);
+        return paper;
+    }
+
+    @Test
+    void aBindingBringsWholeTablesAsPartsOfOneMessage() {
+        Paper paper = join(4);
+        tables.line(0, 1, 0.5);
+        tables.line(0, 2, 0.0001);
+        tables.line(1, 1, 1);
+        tables.admit(1, 2, 0.9, 1);
+        tables.bind(0, 4, 1);
+        tables.bind(1, 4, 2);
+        tables.mark(905, false);
+        tables.flush();
+        assertThat(paper).containsExactly("update classes cut whole 1 lines one:0.5,two:0.00010 more 1 "
+                + "| update classes licence whole 1 lines one:1.0 level 0.9 retry 1 back one,two ticket 905");
+    }
+
+    @Test
+    void laterTurnsSendDifferencesToThoseBoundAndNothingToOthers() {
+        Paper bound = join(4);
+        tables.line(0, 1, 0.5);
+        tables.line(0, 2, 0.5);
+        tables.bind(0, 4, 1);
+        tables.flush();
+        bound.clear();
+        Paper waiting = join(5);
+        tables.line(0, 2, 0);
+        tables.line(0, 1, 0.7);
+        tables.mark(7, false);
+        tables.flush();
+        tables.flush();
+        assertThat(bound).containsExactly("update classes cut lines one:0.7,two:0.0 ticket 7");
+        assertThat(waiting).isEmpty();
+    }
+
+    /** A level that is not for all the classes of a table has a part of its own. */
+    @Test
+    void aLevelForSomeClassesOfATableComesInAPartOfItsOwn() {
+        Paper paper = join(4);
+        tables.line(0, 1, 1);
+        tables.bind(0, 4, 0);
+        tables.admit(0, 2, 0.25, 1);
+        tables.admit(0, 0, 0.5, 1);
+        tables.flush();
+        assertThat(paper).containsExactly("update whole 1 lines one:1.0 level 0.5 retry 1 more 1 "
+                + "| update classes licence level 0.25 retry 1 back one");
+    }
+
+    /** Proxies keep what was shut out, whoever did it: what a governor forgot in a restart stays out else. */
+    @Test
+    void whatAnyGovernorShutOutIsLetBackWithTheLineThatNeedsIt() {
+        Paper paper = join(4);
+        tables.line(0, 1, 1);
+        assertThat(tables.bind(0, 4, 1)).as("lines told beside the table").isEqualTo(1);
+        tables.flush();
+        assertThat(paper.get(0)).contains("back one");
+        assertThat(tables.line(0, 2, 1)).as("a line and its letting back").isEqualTo(2);
+        assertThat(tables.line(0, 1, 2)).isEqualTo(1);
+        tables.flush();
+        assertThat(paper.get(1)).isEqualTo("update classes cut lines one:2.0,two:1.0 back two");
+    }
+
+    /** While proxies wait, what is withdrawn stays so for those that are bound as well. */
+    @Test
+    void aWithdrawalReachesWhoMayHoldTheReplicaAndIsTakenBackFromThemAlone() {
+        tables.line(0, 1, 1);
+        tables.line(1, 2, 1);
+        Paper holds = join(4);
+        Paper other = join(5);
+        Paper waits = join(6);
+        tables.bind(0, 4, 0);
+        tables.bind(1, 5, 0);
+        tables.flush();
+        other.clear();
+        holds.clear();
+        tables.withdraw(1, true);
+        tables.flush();
+        assertThat(waits).containsExactly("update out one");
+        assertThat(holds).containsExactly("update out one");
+        Paper later = join(7);
+        tables.bind(0, 7, 0);
+        tables.flush();
+        assertThat(later).containsExactly("update whole 1 lines one:1.0 out one");
+        waits = join(6);
+        tables.withdraw(1, false);
+        tables.flush();
+        assertThat(waits).as("kept across its streams").containsExactly("update back one");
+        assertThat(later.get(1)).isEqualTo("update back one");
+        assertThat(other).isEmpty();
+    }
+}
