Keep the listener alive when strangers come all at once

Seen in a small probe under the run command, on one core with 1,024 descriptors: 1,100 strangers at once, and the governor never took a connection again. The log had 'failure of the listener: Too many open files'. Checked: 42 strangers had been ended for room, so the limit on parties worked; but the listener's thread accepts quicker than the reactor's ends, ended channels keep their descriptor until the reactor selects again, and a listener that fails to accept ends for good. It now waits, where a worker is named for a connection, until what is open and what waits to be taken fit. In the same probe 9 of 16 proxies were ended for room whose joining had come but had not been read yet: a stranger is left 1 s to say who it is; before that newcomers are not taken. Discovery's troubles leave one line each, not one for each try.

--- a/src/main/java/rockshift/net/Roster.java
+++ b/src/main/java/rockshift/net/Roster.java
@@ -65,6 +65,7 @@
     private final HttpAsyncRequester client;
     private AsyncClientEndpoint endpoint;
     private long version = -1;
+    private String complaint = "";
 
     Roster(HttpHost host, Turns turns, Map<Long, String> names) {
         this.host = host;
@@ -100,10 +101,10 @@
                     Listing listing = ask();
                     version = listing.version;
                     take(listing, names, turns);
+                    complaint = "";
                 } catch (IOException | ExecutionException | TimeoutException | RuntimeException failure) {
                     // The client answers with one of the last kind where a connection ends under a call.
-                    Throwable cause = failure instanceof ExecutionException ? failure.getCause() : failure;
-                    LOG.warn("discovery: {}, list of version {} kept", firstLine(cause), version);
+                    complain(failure instanceof ExecutionException ? failure.getCause() : failure);
                     drop();
                     TimeUnit.MILLISECONDS.sleep(PAUSE);
                 }
@@ -116,8 +117,13 @@
         }
     }
 
-    private static String firstLine(Throwable cause) {
-        return cause.toString().lines().findFirst().orElse("");
+    /** One line for each trouble, not for each try. */
+    private void complain(Throwable cause) {
+        String line = cause.toString().lines().findFirst().orElse("");
+        if (!line.equals(complaint)) {
+            LOG.warn("discovery: {}, list of version {} kept", line, version);
+            complaint = line;
+        }
     }
 
     private void drop() {
--- a/src/main/java/rockshift/net/Streams.java
+++ b/src/main/java/rockshift/net/Streams.java
@@ -5,7 +5,6 @@
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -13,11 +12,14 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOReactorStatus;
 import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.IOWorkerStats;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
@@ -43,8 +45,14 @@
     private static final int QUOTED = 100;
     /** Connections that may wait to be accepted: all proxies dialling at once. */
     private static final int BACKLOG = 1024;
-    /** Descriptors that are not for parties: the program's files, selectors, listener and discovery. */
+    /** Descriptors that are not for parties: the program's files, selectors, listener and discovery; and
+     * those of them that hold connections which are being taken, or ended to make room. */
     private static final int RESERVED = 64;
+    private static final int PASSING = 16;
+    /** Nanoseconds that a stranger has to say who it is before it must make room: far more than it takes. */
+    private static final long TO_SPEAK = 1_000_000_000;
+    /** Nanoseconds between two looks whether there is room again. */
+    private static final long ROOM_PAUSE = 1_000_000;
     /** Ms for ending all connections: a planned restart leaves 0.7 s. */
     private static final int FAREWELL = 300;
     private static final int TENTHS_PER_MILLI = 10;
@@ -73,7 +81,19 @@
                 .setSoReuseAddress(true).setTcpNoDelay(true).build();
         reactor = new DefaultListeningIOReactor((session, attachment) -> new Party(session), one, null, null,
                 null, failure -> LOG.error("failure of the listener", failure), null,
-                session -> session.close(CloseMode.IMMEDIATE));
+                null, session -> session.close(CloseMode.IMMEDIATE), this::worker);
+    }
+
+    /**
+     * Names the reactor's one thread for each connection that the listener took. The listener is quicker, and
+     * one that finds no descriptor left ends for good: it waits here until ended connections are let go.
+     */
+    private int worker(IOWorkerStats[] workers) {
+        while (reactor.getStatus() == IOReactorStatus.ACTIVE
+                && workers[0].totalChannelCount() + workers[0].pendingChannelCount() > most + PASSING) {
+            LockSupport.parkNanos(ROOM_PAUSE);
+        }
+        return 0;
     }
 
     /** Answers the port. */
@@ -96,12 +116,13 @@
     /** One connection and who is at its other end. */
     private final class Party implements IOEventHandler, Tables.Stream {
         private final IOSession session;
+        private final SocketAddress from;
+        private final long since = System.nanoTime();
         private final Resp resp = new Resp();
         private final ConcurrentLinkedQueue<ByteBuffer> waiting = new ConcurrentLinkedQueue<>();
         private final AtomicInteger unread = new AtomicInteger();
         private volatile String reason;
         private String about = "";
-        private final SocketAddress from;
         private String name = "stranger";
         private boolean collector;
         private int proxy = -1;
@@ -115,13 +136,12 @@
         public void connected(IOSession same) {
             session.setSocketTimeout(Timeout.DISABLED);
             if (parties.size() >= most) {
-                // Strangers that say nothing make room for who may have something to say.
-                Iterator<Party> strangers = parties.stream().filter(Party::stranger).iterator();
-                if (!strangers.hasNext()) {
+                // Strangers that say nothing make room, but not before what they say could be read.
+                Party oldest = parties.stream().filter(Party::stranger).findFirst().orElse(this);
+                if (oldest == this || System.nanoTime() - oldest.since < TO_SPEAK) {
                     end("crowded", "");
                     return;
                 }
-                Party oldest = strangers.next();
                 parties.remove(oldest);
                 oldest.end("crowded", "");
             }
