Count first reports for the span they cover: a restarted governor refused a third

Windows of 5 s show 36% refused from 5 to 10 s and 38% from 25 to 30 s, the first seconds after each of the governor's starts, and nothing wrong at the replicas there (no time-outs, p50 down). Ruled out: connections and orders (no closing but the kill's, restart 0.6 s), shunning (no log line), the tables (traffic spread as before). At fault: Known.heard and Logic.fade. The time that arrivals cover began at zero with the first report, though that covers two seconds: arrivals counted 1.8 times. The time of answers grew at once by the second before it: capacity counted 0.65 times. Levels fell to 0.46 at a load of 0.65, and rise by 0.2 a batch at most. A story of the module shows it (level 0.46 before, 1 after). It should also help wherever a governor starts into more than 0.6 of load; it could let in too much for two seconds when one starts into an overload.

--- a/src/main/java/rockshift/Known.java
+++ b/src/main/java/rockshift/Known.java
@@ -25,16 +25,19 @@
     boolean urgent = true;
     boolean unsettled;
     long joinedAt;
-    /** By class, what came; and the tries seen, with the first span of a report. */
+    /** By class, what came; the tries seen; and the time that both and that answers cover. */
     final double[] came;
     double tried;
+    double flowTime;
     double heardTime;
+    long fadedAt;
     /** The shortest promised time: answers that take longer are late. */
     final double promised;
 
     Known(long now, Map<String, String> terms) {
         this.now = now;
         this.terms = terms;
+        fadedAt = now;
         zones = Arrays.asList(terms.getOrDefault("zones", "").split(","));
         // Sites with slices hand out tables of their own: none is laid there.
         classes = number("slices", 0) > 0 ? 0 : (int) number("classes", 0);
@@ -106,7 +109,11 @@
         Replica replica = replicas.get(id);
         if (replica != null) {
             tried += count;
-            heardTime = heardTime == 0 ? span : heardTime;
+            if (heardTime == 0) {
+                // The first reports cover their span: taken for less, they have a third refused.
+                heardTime = flowTime = span;
+                fadedAt = now;
+            }
             replica.heard(zone, count, failed, took > promised ? count - failed : 0, busy);
         }
     }
--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -136,13 +136,11 @@
             Comparator.comparingLong(Due::at).thenComparing(Due::batch).thenComparing(Due::replica)
                     .thenComparing(Due::far));
     private boolean held;
-    // By class: the level, and what it was over time; the time that what came and was tried covers.
+    // By class: the level, and what it was over time.
     private final double[] level;
     private final double[] letIn;
     private double repeats;
     private double expected;
-    private double flowTime;
-    private long fadedAt;
     private double fleetRate;
     private double steadyRate;
     private double fleetLoad;
@@ -168,7 +166,6 @@
         letIn = new double[classes];
         Arrays.fill(level, 1);
         Arrays.fill(letIn, 1);
-        fadedAt = now;
         dues.add(new Due(now, true, 0, false));
     }
 
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -478,4 +478,21 @@
         assertThat(one.tables).isEqualTo(other.tables);
         assertThat(one.logged).isEqualTo(other.logged);
     }
+
+    /** A governor's first reports were taken for those of half their span, and a third was refused. */
+    @Test
+    void theFirstReportsCountForTheSpanThatTheyCover() {
+        FakeHost host = new FakeHost().fleet(4).pass(2.4);
+        for (int i = 0; i < 8; i++) {
+            for (long replica = 1; replica <= 4; replica++) {
+                host.logic.heard(host.now, replica % 2 == 1 ? "east" : "west", replica, 26, 0, 2_000, 2 * SECOND, 0.65);
+            }
+            host.logic.usage(host.now, 0, "cut", 52, 2 * SECOND);
+            host.logic.usage(host.now, 1, "cut", 52, 2 * SECOND);
+            for (int k = 0; k < 4; k++) {
+                host.pass(0.5);
+                assertThat(host.levels.getOrDefault(0, 1.0)).as("0.65 of what the fleet can do").isEqualTo(1);
+            }
+        }
+    }
 }
