Let replaced streams make room, and let a full queue refuse only who fills it

A stream or collector that has come anew makes room like a stranger; beyond 20,000 waiting messages only a party with 200 of them is ended. A charter whose figures or class names are missing or garbled is named in one line.

--- a/src/main/java/rockshift/net/Charter.java
+++ b/src/main/java/rockshift/net/Charter.java
@@ -66,9 +66,12 @@
         require(file, "discovery", discovery);
         require(file, "seed", seed);
         require(file, "known", known);
-        for (String needed : new String[] {"zones", "classes", "class.0.name", "proxies"}) {
+        for (String needed : new String[] {"zones", "classes", "proxies"}) {
             require(file, "settings (" + needed + ")", terms.map().get(needed));
         }
+        for (int k = 0; k < Integer.parseInt(terms.map().get("classes")); k++) {
+            require(file, "settings (class." + k + ".name)", terms.map().get("class." + k + ".name"));
+        }
         return new Charter(name, listen, discovery, seed, descriptors, known, terms.map());
     }
 
@@ -88,6 +91,9 @@
 
     private static int sockets(JsonParser json, int otherwise) throws IOException {
         int told = otherwise;
+        if (json.currentToken() != JsonToken.START_OBJECT) {
+            throw new IllegalArgumentException("no JSON object");
+        }
         while (json.nextToken() != JsonToken.END_OBJECT) {
             boolean sockets = json.currentName().equals("sockets");
             json.nextToken();
--- a/src/main/java/rockshift/net/Serve.java
+++ b/src/main/java/rockshift/net/Serve.java
@@ -77,6 +77,9 @@
         Serve serve;
         try {
             serve = new Serve(charter);
+        } catch (NumberFormatException wrong) {
+            System.err.println(environment.get("RELAY_CONFIG") + ": field settings: " + wrong.getMessage());
+            return UNUSABLE;
         } catch (IOException failure) {
             System.err.println("cannot listen on " + charter.listen() + ": " + failure.getMessage());
             return FAILED;
--- a/src/main/java/rockshift/net/Streams.java
+++ b/src/main/java/rockshift/net/Streams.java
@@ -5,6 +5,7 @@
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -67,6 +68,8 @@
     // Used by the reactor's one thread alone.
     private final ByteBuffer piece = ByteBuffer.allocate(PIECE);
     private final LinkedHashSet<Party> parties = new LinkedHashSet<>();
+    /** The last connection on which each proxy or collector told its name. */
+    private final Map<String, Party> newest = new HashMap<>();
     private long unfinished;
 
     Streams(Turns turns, Map<String, String> terms, int descriptors) {
@@ -121,6 +124,8 @@
         private final Resp resp = new Resp();
         private final ConcurrentLinkedQueue<ByteBuffer> waiting = new ConcurrentLinkedQueue<>();
         private final AtomicInteger unread = new AtomicInteger();
+        /** Its messages that the module has not taken in yet. */
+        private final AtomicInteger queued = new AtomicInteger();
         private volatile String reason;
         private String about = "";
         private String name = "stranger";
@@ -136,8 +141,8 @@
         public void connected(IOSession same) {
             session.setSocketTimeout(Timeout.DISABLED);
             if (parties.size() >= most) {
-                // Strangers that say nothing make room, but not before what they say could be read.
-                Party oldest = parties.stream().filter(Party::stranger).findFirst().orElse(this);
+                // Who says nothing or came anew makes room, but not before what it says could be read.
+                Party oldest = parties.stream().filter(Party::spare).findFirst().orElse(this);
                 if (oldest == this || System.nanoTime() - oldest.since < TO_SPEAK) {
                     end("crowded", "");
                     return;
@@ -148,10 +153,20 @@
             parties.add(this);
         }
 
+        /** A stranger, or one whose machine vanished: nothing ends its connection when it dials again. */
+        private boolean spare() {
+            return newest.get(name) != this;
+        }
+
         private boolean stranger() {
             return !collector && proxy < 0;
         }
 
+        private void named(String name) {
+            this.name = name;
+            newest.put(name, this);
+        }
+
         @Override
         public void inputReady(IOSession same, ByteBuffer unused) throws IOException {
             piece.clear();
@@ -165,7 +180,7 @@
                 resp.feed(piece.flip());
                 while (reason == null && resp.next()) {
                     if (!take()) {
-                        end("flood", "too much waits for the module");
+                        end("flood", queued + " messages wait for the module");
                     }
                 }
             } catch (Resp.Broken broken) {
@@ -178,7 +193,7 @@
             }
         }
 
-        /** Takes in one message; false where the module has too much to take in already. */
+        /** Takes in one message; false where too many of this party wait for the module already. */
         private boolean take() throws Resp.Broken {
             return switch (resp.kind()) {
                 case Resp.PING -> {
@@ -187,7 +202,7 @@
                 }
                 case Resp.COLLECTOR -> {
                     require(stranger(), "a collector that was something else");
-                    name = "collector of " + zone();
+                    named("collector of " + zone());
                     collector = true;
                     yield true;
                 }
@@ -196,27 +211,27 @@
                     int number = numbered();
                     String zone = zone();
                     double rate = resp.number(Resp.USUAL_RATE);
-                    name = "proxy " + number;
+                    named("proxy " + number);
                     proxy = number;
-                    yield turns.joined(number, zone, rate, this);
+                    yield turns.joined(queued, number, zone, rate, this);
                 }
                 case Resp.HEARD -> {
                     require(collector, "a report from no collector");
                     int count = resp.whole(Resp.COUNT);
                     int failed = resp.whole(Resp.FAILED);
                     field(failed <= count, Resp.FAILED);
-                    yield turns.heard(zone(), Roster.number(resp.text(Resp.REPLICA)), count, failed,
+                    yield turns.heard(queued, zone(), Roster.number(resp.text(Resp.REPLICA)), count, failed,
                             tenths(Resp.MEAN_TIME), tenths(Resp.SPAN), resp.paired(Resp.LOAD, Resp.BUSY));
                 }
                 case Resp.USAGE -> {
                     require(!stranger(), "a report from a stranger");
                     String type = resp.text(Resp.CLASS);
                     field(classes.contains(type), Resp.CLASS);
-                    yield turns.usage(numbered(), type, resp.whole(Resp.COUNT), tenths(Resp.SPAN));
+                    yield turns.usage(queued, numbered(), type, resp.whole(Resp.COUNT), tenths(Resp.SPAN));
                 }
                 case Resp.APPLIED -> {
                     require(proxy >= 0 && numbered() == proxy, "a mark of another proxy");
-                    yield turns.applied(proxy, resp.whole(Resp.SERIAL), this);
+                    yield turns.applied(queued, proxy, resp.whole(Resp.SERIAL), this);
                 }
                 default -> throw new Resp.Broken("unknown-kind", "'" + resp.kind() + "'");
             };
@@ -307,6 +322,7 @@
         @Override
         public void disconnected(IOSession same) {
             parties.remove(this);
+            newest.remove(name, this);
             unfinished -= resp.held() - Resp.USUAL;
             waiting.clear();
             if (proxy >= 0) {
--- a/src/main/java/rockshift/net/Turns.java
+++ b/src/main/java/rockshift/net/Turns.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongConsumer;
 import java.util.function.LongFunction;
 import org.slf4j.Logger;
@@ -19,8 +20,10 @@
  */
 final class Turns implements Runnable {
     private static final Logger LOG = LoggerFactory.getLogger(Turns.class);
-    /** Entries that may wait, of about 100 bytes: minutes of what reports may bring a second. */
-    private static final int MOST_WAITING = 50_000;
+    /** Entries of about 100 bytes that may wait before who has many must stop: more than a long pause brings. */
+    static final int MOST_WAITING = 20_000;
+    /** Entries of one party that may wait then: what all parties have left stays under a third of the heap. */
+    private static final int FAIR_SHARE = 200;
     /** Tenths of a ms that the thread waits at most for something to do. */
     private static final long LONGEST_PAUSE = 10_000;
     private static final long NANOS_PER_TENTH = 100_000;
@@ -50,13 +53,20 @@
         return startedAt + (System.nanoTime() - startedNanos) / NANOS_PER_TENTH;
     }
 
-    /** Queues what any thread learned; false where too much waits already. */
-    private boolean offer(LongConsumer input) {
-        return queue.size() < MOST_WAITING && queue.offer(input);
+    /** Queues what a party told; false where too much waits and too much of that is the party's. */
+    private boolean offer(AtomicInteger queued, LongConsumer input) {
+        if (queue.size() >= MOST_WAITING && queued.get() >= FAIR_SHARE) {
+            return false;
+        }
+        queued.incrementAndGet();
+        return queue.add(now -> {
+            queued.decrementAndGet();
+            input.accept(now);
+        });
     }
 
-    boolean joined(int proxy, String zone, double usualRate, Tables.Stream stream) {
-        return offer(now -> {
+    boolean joined(AtomicInteger queued, int proxy, String zone, double usualRate, Tables.Stream stream) {
+        return offer(queued, now -> {
             tables.joined(proxy, stream);
             logic.joined(now, proxy, zone, usualRate);
         });
@@ -72,20 +82,21 @@
         });
     }
 
-    boolean applied(int proxy, int serial, Tables.Stream stream) {
-        return offer(now -> {
+    boolean applied(AtomicInteger queued, int proxy, int serial, Tables.Stream stream) {
+        return offer(queued, now -> {
             if (tables.current(proxy, stream)) {
                 logic.caughtUp(now, proxy, serial);
             }
         });
     }
 
-    boolean heard(String zone, long replica, int count, int failed, long took, long span, Double busy) {
-        return offer(now -> logic.heard(now, zone, replica, count, failed, took, span, busy));
+    boolean heard(AtomicInteger queued, String zone, long replica, int count, int failed, long took, long span,
+            Double busy) {
+        return offer(queued, now -> logic.heard(now, zone, replica, count, failed, took, span, busy));
     }
 
-    boolean usage(int proxy, String type, int count, long span) {
-        return offer(now -> logic.usage(now, proxy, type, count, span));
+    boolean usage(AtomicInteger queued, int proxy, String type, int count, long span) {
+        return offer(queued, now -> logic.usage(now, proxy, type, count, span));
     }
 
     /** A list is never refused: it comes one at a time. */
--- a/src/test/java/rockshift/net/GovernorTest.java
+++ b/src/test/java/rockshift/net/GovernorTest.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -387,6 +388,32 @@
         dialUntilAnswered(serve);
     }
 
+    /** A machine that vanishes ends no connection: each time its proxy dials again one more would stay. */
+    @Test
+    void streamsThatWereReplacedMakeRoomToo() throws Exception {
+        Serve serve = serve(64 + 4, entry("s-1", "Ready", 0));
+        List<Peer> gone = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            gone.add(proxy(serve, 3));
+            gone.get(i).hear();
+        }
+        dialUntilAnswered(serve);
+        gone.get(0).ended();
+        gone.get(3).assertAnswered();
+    }
+
+    /** While the module stands still, one party's flood must cost nobody else a connection. */
+    @Test
+    void onlyWhoHasMuchWaitingIsRefusedByAFullQueue() {
+        Turns still = new Turns(7, Map.of("zones", "east", "classes", "0"), Map.of(1L, "s-1")::get);
+        AtomicInteger flood = new AtomicInteger();
+        while (still.heard(flood, "east", 1, 1, 0, 1, 1, null)) {
+            assertThat(flood.get()).isLessThanOrEqualTo(Turns.MOST_WAITING);
+        }
+        assertThat(still.joined(new AtomicInteger(), 1, "east", 1, message -> { })).isTrue();
+        assertThat(still.heard(flood, "east", 1, 1, 0, 1, 1, null)).isFalse();
+    }
+
     @Test
     void aPartyThatLeavesItsAnswersUnreadIsReset() throws Exception {
         Serve serve = serve();
@@ -457,7 +484,7 @@
 
     @ParameterizedTest
     @CsvSource({"listen, field listen is missing", "discovery, field discovery is missing", "seed, field seed",
-        "known, field known", "dcs, (zones)", "classes, (classes)", "proxy_count, (proxies)"})
+        "known, field known", "dcs, (zones)", "classes, (classes)", "proxy_count, (proxies)", "name, (class.0.name)"})
     void aCharterThatLacksWhatIsNeededIsNamedWithTheField(String field, String told) throws Exception {
         String file = charter("127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0));
         Files.writeString(Path.of(file), Files.readString(Path.of(file)).replace("\"" + field + "\"", "\"other\""));
@@ -466,7 +493,8 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"'', JSON", "'[]', JSON", "'{\"seed\":\"x\"}', seed", "'{\"listen\":\"x\"}', listen", "'{\"known\":3}', known"})
+    @CsvSource({"'', JSON", "'[]', JSON", "'{\"seed\":\"x\"}', seed", "'{\"listen\":\"x\"}', listen", "'{\"known\":3}', known",
+        "'{\"limits\":3}', limits"})
     void aCharterThatIsNoJsonOrGarbledIsNamed(String text, String told) throws Exception {
         String file = Files.writeString(folder.resolve("garbled.json"), text).toString();
         assertThat(Serve.run(Map.of("RELAY_CONFIG", file))).isEqualTo(2);
