--- a/src/main/java/rockshift/Main.java
+++ b/src/main/java/rockshift/Main.java
@@ -16,7 +16,7 @@
         } else if (command.equals("drill")) {
             System.exit(Drill.run(System.in, System.out));
         }
-        System.err.println("usage: rockshift serve   (a governor on sockets, told by the file in RELAY_CONFIG)\n"
+        System.err.println("usage: rockshift serve   (a governor on sockets, as RELAY_CONFIG's file tells)\n"
                 + "       rockshift drill   (plays on the simulator's wire: stdin, stdout)");
         System.exit(2);
     }
--- a/src/main/java/rockshift/net/Turns.java
+++ b/src/main/java/rockshift/net/Turns.java
@@ -20,9 +20,9 @@
  */
 final class Turns implements Runnable {
     private static final Logger LOG = LoggerFactory.getLogger(Turns.class);
-    /** Entries of about 100 bytes that may wait before who has many must stop: more than a long pause brings. */
+    /** Entries of about 100 bytes that may wait before who has many must stop: a long pause brings less. */
     static final int MOST_WAITING = 20_000;
-    /** Entries of one party that may wait then: what all parties have left stays under a third of the heap. */
+    /** Entries of one party that may wait then: those of all parties stay under a third of the heap. */
     private static final int FAIR_SHARE = 200;
     /** Tenths of a ms that the thread waits at most for something to do. */
     private static final long LONGEST_PAUSE = 10_000;
@@ -90,8 +90,8 @@
         });
     }
 
-    boolean heard(AtomicInteger queued, String zone, long replica, int count, int failed, long took, long span,
-            Double busy) {
+    boolean heard(AtomicInteger queued, String zone, long replica, int count, int failed, long took,
+            long span, Double busy) {
         return offer(queued, now -> logic.heard(now, zone, replica, count, failed, took, span, busy));
     }
 
--- a/src/test/java/rockshift/net/GovernorTest.java
+++ b/src/test/java/rockshift/net/GovernorTest.java
@@ -469,7 +469,8 @@
     @ParameterizedTest
     @ValueSource(strings = {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", "nonsense",
         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
-        "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"half", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"a\":1,,}",
+        "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"half",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"a\":1,,}",
         "HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\nhalf", "HTTP/1.1 200 OK\r\n\r\nhalf"})
     void anAnswerThatCannotBeReadKeepsTheListAndIsAskedForAgain(String answer) throws Exception {
         Peer proxy = proxy(serve(), 3);
@@ -493,7 +494,8 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"'', JSON", "'[]', JSON", "'{\"seed\":\"x\"}', seed", "'{\"listen\":\"x\"}', listen", "'{\"known\":3}', known",
+    @CsvSource({"'', JSON", "'[]', JSON", "'{\"seed\":\"x\"}', seed", "'{\"listen\":\"x\"}', listen",
+        "'{\"known\":3}', known",
         "'{\"limits\":3}', limits"})
     void aCharterThatIsNoJsonOrGarbledIsNamed(String text, String told) throws Exception {
         String file = Files.writeString(folder.resolve("garbled.json"), text).toString();
