--- a/src/main/java/rockshift/net/Resp.java
+++ b/src/main/java/rockshift/net/Resp.java
@@ -18,6 +18,8 @@
     static final int USUAL = 1 << 11;
     /** The largest figure that is taken: no rate, time in ms or count comes near, and no sum overflows. */
     private static final double LARGEST = 1e9;
+    /** Starts and ends kept for each connection: twice the strings of the longest usual message. */
+    private static final int FEW = 64;
     /** Digits of the longest count or length; more are no number that a message could hold. */
     private static final int DIGITS = 7;
 
@@ -74,7 +76,7 @@
     private int strings = -1;
     private int length = -1;
     /** Start and end of each string read. */
-    private int[] cuts = new int[16];
+    private int[] cuts = new int[FEW];
     private int read;
 
     /** Takes over bytes that came. */
@@ -102,7 +104,7 @@
 
     /** Bytes held, used or not. */
     int held() {
-        return bytes.length;
+        return bytes.length + Integer.BYTES * (cuts.length - FEW);
     }
 
     /** Whether one more whole message was read; its strings are valid until the next call. */
@@ -115,7 +117,7 @@
         if (begin == end && begin > 0) {
             begin = end = at = 0;
             bytes = bytes.length > USUAL ? new byte[USUAL] : bytes;
-            cuts = new int[16];
+            cuts = cuts.length > FEW ? new int[FEW] : cuts;
         }
         if (strings < 0) {
             strings = number('*');
@@ -126,7 +128,7 @@
         while (strings > 0 && read < strings && text()) {
             continue;
         }
-        if (Math.max(at, end) - begin > LONGEST && read != strings || at - begin > LONGEST) {
+        if (end - begin > LONGEST && read != strings || at - begin > LONGEST) {
             throw new Broken("too-long", "a message of over " + LONGEST + " bytes");
         }
         return strings > 0 && read == strings;
--- a/src/main/java/rockshift/net/Tables.java
+++ b/src/main/java/rockshift/net/Tables.java
@@ -65,7 +65,7 @@
     }
 
     private final LongFunction<String> names;
-    private final List<String> classes;
+    private final List<String> classNames;
     private final LongConsumer waker;
     private final Map<Integer, Table> tables = new HashMap<>();
     private final TreeMap<Integer, Seat> seats = new TreeMap<>();
@@ -74,9 +74,9 @@
     private final Map<Integer, Set<Long>> shut = new HashMap<>();
     private int serial;
 
-    Tables(LongFunction<String> names, List<String> classes, LongConsumer waker) {
+    Tables(LongFunction<String> names, List<String> classNames, LongConsumer waker) {
         this.names = names;
-        this.classes = classes;
+        this.classNames = classNames;
         this.waker = waker;
     }
 
@@ -226,9 +226,9 @@
         List<String> part = new ArrayList<>(List.of(Resp.UPDATE));
         if (bits != 0) {
             StringJoiner meant = new StringJoiner("+");
-            for (int k = 0; k < classes.size(); k++) {
+            for (int k = 0; k < classNames.size(); k++) {
                 if ((bits & 1 << k) != 0) {
-                    meant.add(classes.get(k));
+                    meant.add(classNames.get(k));
                 }
             }
             part.addAll(List.of(Resp.CLASSES, meant.toString()));
