Let in less while most answers of the fleet are late

Windows from 5 to 15 s: half of the answers late, a sixth refused: levels fit what comes, but the queues that filled while traffic rose never drain. Counting too little capacity in the first seconds had drained them by chance.

--- a/src/main/java/rockshift/Known.java
+++ b/src/main/java/rockshift/Known.java
@@ -25,9 +25,10 @@
     boolean urgent = true;
     boolean unsettled;
     long joinedAt;
-    /** By class, what came; the tries seen; and the time that both and that answers cover. */
+    /** By class, what came; the tries seen, and those answered late; the time that these and answers cover. */
     final double[] came;
     double tried;
+    double late;
     double flowTime;
     double heardTime;
     long fadedAt;
@@ -114,7 +115,9 @@
                 heardTime = flowTime = span;
                 fadedAt = now;
             }
-            replica.heard(zone, count, failed, took > promised ? count - failed : 0, busy);
+            int slow = took > promised ? count - failed : 0;
+            late += slow;
+            replica.heard(zone, count, failed, slow, busy);
         }
     }
 
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -485,7 +485,8 @@
         FakeHost host = new FakeHost().fleet(4).pass(2.4);
         for (int i = 0; i < 8; i++) {
             for (long replica = 1; replica <= 4; replica++) {
-                host.logic.heard(host.now, replica % 2 == 1 ? "east" : "west", replica, 26, 0, 2_000, 2 * SECOND, 0.65);
+                String zone = replica % 2 == 1 ? "east" : "west";
+                host.logic.heard(host.now, zone, replica, 26, 0, 2_000, 2 * SECOND, 0.65);
             }
             host.logic.usage(host.now, 0, "cut", 52, 2 * SECOND);
             host.logic.usage(host.now, 1, "cut", 52, 2 * SECOND);
@@ -495,4 +496,19 @@
             }
         }
     }
+
+    /** An overload day on sockets: levels fitted what came, but queues stayed full and half was late. */
+    @Test
+    void lessIsLetInWhileMostAnswersAreLate() {
+        double[] level = new double[2];
+        for (int late = 0; late < 2; late++) {
+            FakeHost host = new FakeHost("class.0.promised.time", "5000").fleet(2);
+            for (int i = 0; i < 15; i++) {
+                long took = late == 1 ? 6_000 : 2_000;
+                host.second(new Report(1, 60, 0, 1.0, took), new Report(2, 60, 0, 1.0, took));
+            }
+            level[late] = host.levels.get(0);
+        }
+        assertThat(level[1]).isCloseTo(0.75 * level[0], within(0.03));
+    }
 }
