--- a/src/main/java/rockshift/Known.java
+++ b/src/main/java/rockshift/Known.java
@@ -25,7 +25,7 @@
     boolean urgent = true;
     boolean unsettled;
     long joinedAt;
-    /** By class, what came; the tries seen, and those answered late; the time that these and answers cover. */
+    /** By class, what came; the tries seen, and those late or failed; the time that these and answers cover. */
     final double[] came;
     double tried;
     double late;
@@ -116,7 +116,7 @@
                 fadedAt = now;
             }
             int slow = took > promised ? count - failed : 0;
-            late += slow;
+            late += slow + failed;
             replica.heard(zone, count, failed, slow, busy);
         }
     }
--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -568,7 +568,7 @@
         double step = steadyRate == 0 ? 1 : medianFailures < CALM ? STEADY_STEP : 0;
         steadyRate += step * (fleetRate - steadyRate);
         double room = FULL * Math.max(fleetRate, JAM_PART * steadyRate);
-        // Where most answers are late, queues are full everywhere: they must drain before more is let in.
+        // Where most tries end late or fail, queues are full everywhere and must drain before more is let in.
         room *= late > tried / 2 ? JAM_PART : 1;
         // In a full jam servers work on what nobody waits for any more, whatever is still let in. Letting in
         // next to nothing until the oldest has timed out frees them at once; costs that time if it is wrong.
