A new governor lets in less, the more the fleet is overworked

Cause: traffic still rises while reports come 0.4 to 1.4 s late over 2 s, so queues fill before levels fall; too low a capacity in the first seconds had hidden it. For as long as the capacity is remembered after the first report, room now shrinks by 0.8 over the fleet's load, where that is above 0.8. Could refuse too much in the first 8 s of a governor that starts into a steady full load.

--- a/src/main/java/rockshift/Known.java
+++ b/src/main/java/rockshift/Known.java
@@ -25,13 +25,13 @@
     boolean urgent = true;
     boolean unsettled;
     long joinedAt;
-    /** By class, what came; the tries seen, and those late or failed; the time that these and answers cover. */
+    /** By class, what came; the tries seen; and the time that both and answers cover. */
     final double[] came;
     double tried;
-    double late;
     double flowTime;
     double heardTime;
     long fadedAt;
+    long heardSince;
     /** The shortest promised time: answers that take longer are late. */
     final double promised;
 
@@ -113,11 +113,9 @@
             if (heardTime == 0) {
                 // The first reports cover their span: taken for less, they have a third refused.
                 heardTime = flowTime = span;
-                fadedAt = now;
+                fadedAt = heardSince = now;
             }
-            int slow = took > promised ? count - failed : 0;
-            late += slow + failed;
-            replica.heard(zone, count, failed, slow, busy);
+            replica.heard(zone, count, failed, took > promised ? count - failed : 0, busy);
         }
     }
 
--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -372,7 +372,6 @@
             heardTime = heardTime * capacityKept + CAPACITY_MEMORY * (1 - capacityKept);
             flowTime = flowTime * flowKept + FLOW_MEMORY * (1 - flowKept);
             tried *= flowKept;
-            late *= flowKept;
             for (int k = 0; k < classes; k++) {
                 came[k] *= flowKept;
                 letIn[k] = letIn[k] * flowKept + level[k] * (1 - flowKept);
@@ -568,8 +567,8 @@
         double step = steadyRate == 0 ? 1 : medianFailures < CALM ? STEADY_STEP : 0;
         steadyRate += step * (fleetRate - steadyRate);
         double room = FULL * Math.max(fleetRate, JAM_PART * steadyRate);
-        // Where most tries end late or fail, queues are full everywhere and must drain before more is let in.
-        room *= late > tried / 2 ? JAM_PART : 1;
+        // Reports are late, and what comes to an overworked fleet rises: a new governor lets in less by that.
+        room *= now < heardSince + CAPACITY_MEMORY ? Math.min(1, OVERWORKED / fleetLoad) : 1;
         // In a full jam servers work on what nobody waits for any more, whatever is still let in. Letting in
         // next to nothing until the oldest has timed out frees them at once; costs that time if it is wrong.
         if (medianFailures > JAMMED && fleetLoad > OVERWORKED && now > pausedUntil + AFTER_PAUSE) {
