--- a/src/main/java/rockshift/Channel.java
+++ b/src/main/java/rockshift/Channel.java
@@ -40,10 +40,10 @@
         queued += lines;
     }
 
-    /** Closes the turn's messages under one number, or answers 0 where there is none. */
-    int mark(long now) {
+    /** Closes the turn's messages under one number; false where there is none. */
+    boolean mark(Orders orders, long now) {
         if (written.isEmpty()) {
-            return 0;
+            return false;
         }
         serial = serial % LAST_SERIAL + 1;
         for (Proxy proxy : written) {
@@ -51,7 +51,8 @@
             proxy.lines = 0;
         }
         written.clear();
-        return serial;
+        orders.mark(serial);
+        return true;
     }
 
     static void answered(Proxy proxy, int serial) {
--- a/src/main/java/rockshift/Known.java
+++ b/src/main/java/rockshift/Known.java
@@ -111,9 +111,8 @@
         if (replica != null) {
             tried += count;
             if (heardTime == 0) {
-                // The first reports cover their span: taken for less, they have a third refused.
-                heardTime = flowTime = span;
-                fadedAt = heardSince = now;
+                heardTime = span;
+                heardSince = now;
             }
             replica.heard(zone, count, failed, took > promised ? count - failed : 0, busy);
         }
--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -189,11 +189,7 @@
             dues.pollFirst();
             giveBack(replicas.get(due.replica), due.far);
         } else if (!join(orders) && !withdraw(orders)) {
-            int serial = channel.mark(now);
-            if (serial > 0) {
-                orders.mark(serial, false);
-            }
-            return serial > 0;
+            return channel.mark(orders, now);
         }
         return true;
     }
@@ -369,8 +365,10 @@
             replica.fade(warmth(replica) < 1 ? 0 : capacityKept, healthKept);
         }
         if (heardTime > 0) {
-            heardTime = heardTime * capacityKept + CAPACITY_MEMORY * (1 - capacityKept);
-            flowTime = flowTime * flowKept + FLOW_MEMORY * (1 - flowKept);
+            // The first reports cover their span and no more: taken for less, they have a third refused.
+            boolean first = flowTime == 0;
+            flowTime = first ? heardTime * flowKept : flowTime * flowKept + FLOW_MEMORY * (1 - flowKept);
+            heardTime = heardTime * capacityKept + (first ? 0 : CAPACITY_MEMORY * (1 - capacityKept));
             tried *= flowKept;
             for (int k = 0; k < classes; k++) {
                 came[k] *= flowKept;
--- a/src/main/java/rockshift/Orders.java
+++ b/src/main/java/rockshift/Orders.java
@@ -18,7 +18,7 @@
     void admit(int table, int classes, double level, int again);
 
     /** Numbers the messages of this turn; each proxy reached answers with the number. */
-    void mark(int serial, boolean everyone);
+    void mark(int serial);
 
     /** Asks to be woken once after a delay in tenths of a millisecond. */
     void wake(long delay);
--- a/src/main/java/rockshift/drill/Drill.java
+++ b/src/main/java/rockshift/drill/Drill.java
@@ -209,8 +209,8 @@
         }
 
         @Override
-        public void mark(int serial, boolean everyone) {
-            start("STAMP").append(everyone ? "1 " : "0 ").append(serial).append('\n');
+        public void mark(int serial) {
+            start("STAMP").append("0 ").append(serial).append('\n');
         }
 
         @Override
--- a/src/main/java/rockshift/net/Tables.java
+++ b/src/main/java/rockshift/net/Tables.java
@@ -158,7 +158,7 @@
     }
 
     @Override
-    public void mark(int serial, boolean everyone) {
+    public void mark(int serial) {
         this.serial = serial;
     }
 
--- a/src/test/java/rockshift/FakeHost.java
+++ b/src/test/java/rockshift/FakeHost.java
@@ -139,7 +139,7 @@
     }
 
     @Override
-    public void mark(int serial, boolean everyone) {
+    public void mark(int serial) {
         said.add("mark " + serial);
         marked = serial;
     }
--- a/src/test/java/rockshift/net/TablesTest.java
+++ b/src/test/java/rockshift/net/TablesTest.java
@@ -39,7 +39,7 @@
         tables.admit(1, 2, 0.9, 1);
         tables.bind(0, 4, 1);
         tables.bind(1, 4, 2);
-        tables.mark(905, false);
+        tables.mark(905);
         tables.flush();
         assertThat(paper).containsExactly("update classes cut whole 1 lines one:0.5,two:0.00010 more 1 "
                 + "| update classes licence whole 1 lines one:1.0 level 0.9 retry 1 back one,two ticket 905");
@@ -56,7 +56,7 @@
         Paper waiting = join(5);
         tables.line(0, 2, 0);
         tables.line(0, 1, 0.7);
-        tables.mark(7, false);
+        tables.mark(7);
         tables.flush();
         tables.flush();
         assertThat(bound).containsExactly("update classes cut lines one:0.7,two:0.0 ticket 7");
