--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -122,6 +122,7 @@
     // ---- state ----------------------------------------------------------------------------------
     private final RandomGenerator chance;
     private final boolean[] homebound;
+    private final boolean refusing;
     private final double head;
     private final double limit;
     private final double coldShare;
@@ -154,6 +155,7 @@
         super(now, terms);
         chance = new SplittableRandom(seed);
         homebound = new boolean[classes];
+        refusing = terms.getOrDefault("admission", "").equals("share");
         for (int k = 0; k < classes; k++) {
             homebound[k] = Boolean.parseBoolean(terms.get("class." + k + ".own.zone"));
         }
@@ -366,7 +368,8 @@
         }
         if (heardTime > 0) {
             // The first reports cover their span and no more: taken for less, they have a third refused.
-            boolean first = flowTime == 0;
+            // Where nothing is refused, only cold replicas are spared by it, and that may stay too careful.
+            boolean first = refusing && flowTime == 0;
             flowTime = first ? heardTime * flowKept : flowTime * flowKept + FLOW_MEMORY * (1 - flowKept);
             heardTime = heardTime * capacityKept + (first ? 0 : CAPACITY_MEMORY * (1 - capacityKept));
             tried *= flowKept;
@@ -543,7 +546,7 @@
      * Could refuse too much while capacity is underrated, so a fleet that is not busy refuses nothing.
      */
     private void setLevels() {
-        if (!terms.getOrDefault("admission", "").equals("share") || flowTime == 0) {
+        if (!refusing || flowTime == 0) {
             return;
         }
         // A refused client comes again; taken for new demand, it would have ever more refused. How often is
