Count first reports' spans only while the fleet is not overworked

Cold replicas go by the old times as before, so a site without levels decides as it did. The guard in proportion to load is given up.

--- a/src/main/java/rockshift/Known.java
+++ b/src/main/java/rockshift/Known.java
@@ -30,8 +30,10 @@
     double tried;
     double flowTime;
     double heardTime;
+    /** The same, begun with the first report's span instead of the time until it was taken in. */
+    double flowSpan;
+    double heardSpan;
     long fadedAt;
-    long heardSince;
     /** The shortest promised time: answers that take longer are late. */
     final double promised;
 
@@ -110,10 +112,7 @@
         Replica replica = replicas.get(id);
         if (replica != null) {
             tried += count;
-            if (heardTime == 0) {
-                heardTime = span;
-                heardSince = now;
-            }
+            heardTime = heardTime == 0 ? span : heardTime;
             replica.heard(zone, count, failed, took > promised ? count - failed : 0, busy);
         }
     }
--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -122,7 +122,6 @@
     // ---- state ----------------------------------------------------------------------------------
     private final RandomGenerator chance;
     private final boolean[] homebound;
-    private final boolean refusing;
     private final double head;
     private final double limit;
     private final double coldShare;
@@ -155,7 +154,6 @@
         super(now, terms);
         chance = new SplittableRandom(seed);
         homebound = new boolean[classes];
-        refusing = terms.getOrDefault("admission", "").equals("share");
         for (int k = 0; k < classes; k++) {
             homebound[k] = Boolean.parseBoolean(terms.get("class." + k + ".own.zone"));
         }
@@ -367,11 +365,12 @@
             replica.fade(warmth(replica) < 1 ? 0 : capacityKept, healthKept);
         }
         if (heardTime > 0) {
-            // The first reports cover their span and no more: taken for less, they have a third refused.
-            // Where nothing is refused, only cold replicas are spared by it, and that may stay too careful.
-            boolean first = refusing && flowTime == 0;
-            flowTime = first ? heardTime * flowKept : flowTime * flowKept + FLOW_MEMORY * (1 - flowKept);
-            heardTime = heardTime * capacityKept + (first ? 0 : CAPACITY_MEMORY * (1 - capacityKept));
+            boolean first = flowTime == 0;
+            flowSpan = first ? heardTime * flowKept : flowSpan * flowKept + FLOW_MEMORY * (1 - flowKept);
+            heardSpan = (first ? heardTime : heardSpan) * capacityKept
+                    + (first ? 0 : CAPACITY_MEMORY * (1 - capacityKept));
+            heardTime = heardTime * capacityKept + CAPACITY_MEMORY * (1 - capacityKept);
+            flowTime = flowTime * flowKept + FLOW_MEMORY * (1 - flowKept);
             tried *= flowKept;
             for (int k = 0; k < classes; k++) {
                 came[k] *= flowKept;
@@ -546,7 +545,7 @@
      * Could refuse too much while capacity is underrated, so a fleet that is not busy refuses nothing.
      */
     private void setLevels() {
-        if (!refusing || flowTime == 0) {
+        if (!terms.getOrDefault("admission", "").equals("share") || flowTime == 0) {
             return;
         }
         // A refused client comes again; taken for new demand, it would have ever more refused. How often is
@@ -555,11 +554,13 @@
         double refused = 1 - passed / Arrays.stream(came).sum();
         double found = Math.max(0, Math.min(MOST_REPEATS, (passed / Math.max(1, tried) - 1) / refused));
         repeats += refused > TRUSTED ? REPEATS_STEP * (found - repeats) : 0;
+        // At a start the times are too safe by a third: only an overworked fleet soon gets more than is told.
+        boolean calm = fleetLoad < OVERWORKED;
         double[] each = new double[classes];
         double demand = 0;
         double benefits = 0;
         for (int k = 0; k < classes; k++) {
-            each[k] = came[k] / flowTime / (1 + repeats * (1 - letIn[k]));
+            each[k] = came[k] / (calm ? flowSpan : flowTime) / (1 + repeats * (1 - letIn[k]));
             demand += each[k];
             benefits += each[k] * number("class." + k + ".benefit", 1);
         }
@@ -567,9 +568,8 @@
         // the rate of calmer times holds the room up. Too high where much capacity is really lost.
         double step = steadyRate == 0 ? 1 : medianFailures < CALM ? STEADY_STEP : 0;
         steadyRate += step * (fleetRate - steadyRate);
-        double room = FULL * Math.max(fleetRate, JAM_PART * steadyRate);
-        // Reports are late, and what comes to an overworked fleet rises: a new governor lets in less by that.
-        room *= now < heardSince + CAPACITY_MEMORY ? Math.min(1, OVERWORKED / fleetLoad) : 1;
+        double able = calm ? fleetRate * heardTime / heardSpan : fleetRate;
+        double room = FULL * Math.max(able, JAM_PART * steadyRate);
         // In a full jam servers work on what nobody waits for any more, whatever is still let in. Letting in
         // next to nothing until the oldest has timed out frees them at once; costs that time if it is wrong.
         if (medianFailures > JAMMED && fleetLoad > OVERWORKED && now > pausedUntil + AFTER_PAUSE) {
