Read class names, tenths and tables in one place each

Found on rereading the whole change: Turns, Streams and Charter each gathered the names of the classes from the terms, the module's unit of time stood in three files, and Tables made absent tables in three places.

--- a/src/main/java/rockshift/net/Charter.java
+++ b/src/main/java/rockshift/net/Charter.java
@@ -6,8 +6,10 @@
 import java.io.File;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.StringJoiner;
+import java.util.stream.IntStream;
 import rockshift.Terms;
 
 /**
@@ -69,12 +71,19 @@
         for (String needed : new String[] {"zones", "classes", "proxies"}) {
             require(file, "settings (" + needed + ")", terms.map().get(needed));
         }
-        for (int k = 0; k < Integer.parseInt(terms.map().get("classes")); k++) {
-            require(file, "settings (class." + k + ".name)", terms.map().get("class." + k + ".name"));
+        List<String> classes = classNames(terms.map());
+        for (int k = 0; k < classes.size(); k++) {
+            require(file, "settings (class." + k + ".name)", classes.get(k));
         }
         return new Charter(name, listen, discovery, seed, descriptors, known, terms.map());
     }
 
+    /** The names of the classes, in the order of their bits. */
+    static List<String> classNames(Map<String, String> terms) {
+        return IntStream.range(0, Integer.parseInt(terms.get("classes")))
+                .mapToObj(k -> terms.get("class." + k + ".name")).toList();
+    }
+
     private static void require(String file, String field, Object value) throws Unusable {
         if (value == null) {
             throw new Unusable(file + ": field " + field + " is missing");
--- a/src/main/java/rockshift/net/Roster.java
+++ b/src/main/java/rockshift/net/Roster.java
@@ -53,7 +53,6 @@
     private static final int PAUSE = 100;
     /** Bytes of the longest answer: tens of thousands of replicas, and an eighth of the heap. */
     private static final int LONGEST = 8 << 20;
-    private static final int TENTHS_PER_MILLI = 10;
     private static final JsonFactory JSON = new JsonFactory();
 
     /** A list as it came, whole or what changed, with the names that its replicas have outside. */
@@ -210,7 +209,7 @@
                 case "zone" -> zone = text(json);
                 case "machineType" -> kind = text(json);
                 case "lifecycle" -> health = Terms.health(text(json));
-                case "startedAtMs" -> started = Math.round(json.getDoubleValue() * TENTHS_PER_MILLI);
+                case "startedAtMs" -> started = Math.round(json.getDoubleValue() * Turns.TENTHS_PER_MILLI);
                 default -> json.skipChildren();
             }
         }
--- a/src/main/java/rockshift/net/Streams.java
+++ b/src/main/java/rockshift/net/Streams.java
@@ -56,12 +56,11 @@
     private static final long ROOM_PAUSE = 1_000_000;
     /** Ms for ending all connections: a planned restart leaves 0.7 s. */
     private static final int FAREWELL = 300;
-    private static final int TENTHS_PER_MILLI = 10;
     private static final byte[] PONG = Resp.message(List.of(Resp.PONG));
 
     private final Turns turns;
     private final Set<String> zones;
-    private final Set<String> classes = new LinkedHashSet<>();
+    private final List<String> classes;
     private final int proxies;
     private final int most;
     private final DefaultListeningIOReactor reactor;
@@ -75,9 +74,7 @@
     Streams(Turns turns, Map<String, String> terms, int descriptors) {
         this.turns = turns;
         zones = Set.of(terms.get("zones").split(","));
-        for (int k = 0; k < Integer.parseInt(terms.get("classes")); k++) {
-            classes.add(terms.get("class." + k + ".name"));
-        }
+        classes = Charter.classNames(terms);
         proxies = (int) Double.parseDouble(terms.get("proxies"));
         most = Math.max(1, descriptors - RESERVED);
         IOReactorConfig one = IOReactorConfig.custom().setIoThreadCount(1).setBacklogSize(BACKLOG)
@@ -262,7 +259,7 @@
         }
 
         private long tenths(String name) throws Resp.Broken {
-            return (long) (resp.number(name) * TENTHS_PER_MILLI);
+            return (long) (resp.number(name) * Turns.TENTHS_PER_MILLI);
         }
 
         /** Called by the module's thread; the reactor's writes. */
--- a/src/main/java/rockshift/net/Tables.java
+++ b/src/main/java/rockshift/net/Tables.java
@@ -95,9 +95,14 @@
         return seat != null && seat.stream == stream;
     }
 
+    /** A table that nobody named yet is empty. */
+    private Table table(int number) {
+        return tables.computeIfAbsent(number, absent -> new Table());
+    }
+
     @Override
     public int line(int table, long replica, double weight) {
-        Table changed = tables.computeIfAbsent(table, number -> new Table());
+        Table changed = table(table);
         boolean enters = weight > 0 && !changed.lines.containsKey(replica);
         changed.newLines.put(replica, weight);
         if (weight > 0) {
@@ -127,7 +132,7 @@
         seat.bound.put(table, classes);
         seat.fresh.add(table);
         int told = 0;
-        for (long replica : tables.computeIfAbsent(table, number -> new Table()).lines.keySet()) {
+        for (long replica : table(table).lines.keySet()) {
             told += seat.tell(replica, withdrawn.contains(replica)) ? 1 : 0;
         }
         return told;
@@ -151,7 +156,7 @@
 
     @Override
     public void admit(int table, int classes, double level, int again) {
-        Table changed = tables.computeIfAbsent(table, number -> new Table());
+        Table changed = table(table);
         Level to = new Level(classes, level, again);
         changed.levels.put(classes, to);
         changed.newLevels.put(classes, to);
--- a/src/main/java/rockshift/net/Turns.java
+++ b/src/main/java/rockshift/net/Turns.java
@@ -27,7 +27,7 @@
     /** Tenths of a ms that the thread waits at most for something to do. */
     private static final long LONGEST_PAUSE = 10_000;
     private static final long NANOS_PER_TENTH = 100_000;
-    private static final int TENTHS_PER_MILLI = 10;
+    static final int TENTHS_PER_MILLI = 10;
 
     private final LinkedBlockingQueue<LongConsumer> queue = new LinkedBlockingQueue<>();
     private final long startedAt = System.currentTimeMillis() * TENTHS_PER_MILLI;
@@ -40,11 +40,7 @@
 
     Turns(long seed, Map<String, String> terms, LongFunction<String> names) {
         logic = new Logic(now(), seed, terms);
-        List<String> classes = new ArrayList<>();
-        for (int k = 0; terms.containsKey("class." + k + ".name"); k++) {
-            classes.add(terms.get("class." + k + ".name"));
-        }
-        tables = new Tables(names, classes, delay -> wakeAt = now() + delay);
+        tables = new Tables(names, Charter.classNames(terms), delay -> wakeAt = now() + delay);
         spacing = Long.parseLong(terms.getOrDefault("turn.spacing", "0"));
     }
 
