SIGHUP has the file read again and moves the watch at once

Ruled out: memory (50 of 144 MB) and descriptors (107 of 384). Serve takes the signal before it listens, reads the file and hands discovery's address to Roster, which drops the call in hand, asks the new address for the whole list and keeps the one held meanwhile. What can't change while serving is named in the log and left; a file that can't be used leaves the old in force with one line.

--- a/src/main/java/rockshift/net/Charter.java
+++ b/src/main/java/rockshift/net/Charter.java
@@ -9,12 +9,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.StringJoiner;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import rockshift.Terms;
 
 /**
- * What a governor is told in its file at the start: where it is, where discovery is, what it may use, the
- * list that it last had, and its terms. It is read once and never written, and what is missing is named.
+ * What a governor is told in its file: where it is, where discovery is, what it may use, the list that it last
+ * had, and its terms. It is what one reading found and never changes, and what is missing is named.
  */
 record Charter(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int descriptors,
         Roster.Listing known, Map<String, String> terms) {
@@ -78,6 +80,13 @@
         return new Charter(name, listen, discovery, seed, descriptors, known, terms.map());
     }
 
+    /** The fields in which another file differs though they stand for as long as the process serves. */
+    String fixed(Charter other) {
+        return Stream.of(name.equals(other.name) ? "" : "name", listen.equals(other.listen) ? "" : "listen",
+                        descriptors == other.descriptors ? "" : "limits", terms.equals(other.terms) ? "" : "settings")
+                .filter(field -> !field.isEmpty()).collect(Collectors.joining(", "));
+    }
+
     /** The names of the classes, in the order of their bits. */
     static List<String> classNames(Map<String, String> terms) {
         return IntStream.range(0, Integer.parseInt(terms.get("classes")))
--- a/src/main/java/rockshift/net/Roster.java
+++ b/src/main/java/rockshift/net/Roster.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
@@ -37,8 +38,8 @@
 import rockshift.Terms;
 
 /**
- * The list of replicas, kept by watching discovery, and the numbers under which the module knows them. It
- * owns the connection to discovery and the version of the list that is held. Whatever discovery does, it
+ * The list of replicas, kept by watching discovery where the file in force says it is, and the numbers under
+ * which the module knows them. It owns the connection to discovery and the version of the list that is held. Whatever discovery does, it
  * must never lose the list that it has, and never wait longer than the limits here.
  */
 final class Roster implements Runnable {
@@ -58,16 +59,21 @@
     /** A list as it came, whole or what changed, with the names that its replicas have outside. */
     record Listing(long version, boolean whole, List<Listed> entries, Map<Long, String> names) { }
 
-    private final HttpHost host;
+    private final Thread thread = new Thread(this, "roster");
     private final Turns turns;
     private final Map<Long, String> names;
     private final HttpAsyncRequester client;
+    /** Where discovery is from now on, as told last; the roster's thread goes there when it is interrupted. */
+    private volatile HttpHost told;
+    private volatile boolean closed;
+    // Used by the roster's thread alone: the address that is watched, and how it stands there.
+    private HttpHost host;
     private AsyncClientEndpoint endpoint;
     private long version = -1;
     private String complaint = "";
 
-    Roster(HttpHost host, Turns turns, Map<Long, String> names) {
-        this.host = host;
+    Roster(InetSocketAddress discovery, Turns turns, Map<Long, String> names) {
+        told = host(discovery);
         this.turns = turns;
         this.names = names;
         client = AsyncRequesterBootstrap.bootstrap()
@@ -91,28 +97,57 @@
         turns.listed(listing.entries, !listing.whole);
     }
 
+    private static HttpHost host(InetSocketAddress address) {
+        return new HttpHost("http", address.getHostString(), address.getPort());
+    }
+
+    void start() {
+        thread.start();
+    }
+
+    /** Watches another address: the call in hand is dropped at once, and the list is kept meanwhile. */
+    void follow(InetSocketAddress discovery) {
+        HttpHost next = host(discovery);
+        if (!next.equals(told)) {
+            told = next;
+            thread.interrupt();
+        }
+    }
+
+    void close() {
+        closed = true;
+        thread.interrupt();
+    }
+
     @Override
     public void run() {
         client.start();
-        try {
-            while (!Thread.currentThread().isInterrupted()) {
-                try {
-                    Listing listing = ask();
-                    version = listing.version;
-                    take(listing, names, turns);
-                    complaint = "";
-                } catch (IOException | ExecutionException | TimeoutException | RuntimeException failure) {
-                    // The client answers with one of the last kind where a connection ends under a call.
-                    complain(failure instanceof ExecutionException ? failure.getCause() : failure);
-                    drop();
-                    TimeUnit.MILLISECONDS.sleep(PAUSE);
-                }
+        while (!closed) {
+            try {
+                watch();
+            } catch (InterruptedException moved) {
+                drop();
+            }
+        }
+        client.close(CloseMode.IMMEDIATE);
+    }
+
+    /** Watches one address until the thread is interrupted. Versions of another may be others: all is asked for. */
+    private void watch() throws InterruptedException {
+        host = told;
+        version = -1;
+        while (true) {
+            try {
+                Listing listing = ask();
+                version = listing.version;
+                take(listing, names, turns);
+                complaint = "";
+            } catch (IOException | ExecutionException | TimeoutException | RuntimeException failure) {
+                // The client answers with one of the last kind where a connection ends under a call.
+                complain(failure instanceof ExecutionException ? failure.getCause() : failure);
+                drop();
+                TimeUnit.MILLISECONDS.sleep(PAUSE);
             }
-        } catch (InterruptedException stopped) {
-            Thread.currentThread().interrupt();
-        } finally {
-            drop();
-            client.close(CloseMode.IMMEDIATE);
         }
     }
 
--- a/src/main/java/rockshift/net/Serve.java
+++ b/src/main/java/rockshift/net/Serve.java
@@ -3,13 +3,14 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import org.apache.hc.core5.http.HttpHost;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import sun.misc.Signal;
 
 /**
  * A governor on sockets, put together from its parts: the charter, the module's thread, the roster and the
- * streams. It owns their start and their end, and must never take part in what they do.
+ * streams. It owns their start and their end, and the signals that the process gets: SIGTERM ends it, SIGHUP has
+ * the file read again. It must never take part in what the parts do, and no file may end what serves.
  */
 public final class Serve implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Serve.class);
@@ -17,20 +18,23 @@
     private static final int UNUSABLE = 2;
     private static final int FAILED = 1;
 
+    private final Charter charter;
     private final Thread turning;
-    private final Thread watching;
+    private final Roster roster;
     private final Streams streams;
-    private final int port;
+    private int port;
 
-    Serve(Charter charter) throws IOException, InterruptedException {
+    Serve(Charter charter) {
+        this.charter = charter;
         Map<Long, String> names = new ConcurrentHashMap<>();
         Turns turns = new Turns(charter.seed(), charter.terms(), names::get);
-        HttpHost discovery = new HttpHost("http", charter.discovery().getHostString(),
-                charter.discovery().getPort());
         Roster.take(charter.known(), names, turns);
         turning = new Thread(turns, "turns");
-        watching = new Thread(new Roster(discovery, turns, names), "roster");
+        roster = new Roster(charter.discovery(), turns, names);
         streams = new Streams(turns, charter.terms(), charter.descriptors());
+    }
+
+    void start() throws IOException, InterruptedException {
         try {
             port = streams.listen(charter.listen());
         } catch (IOException failure) {
@@ -38,7 +42,7 @@
             throw failure;
         }
         turning.start();
-        watching.start();
+        roster.start();
         LOG.info("{} serves on {}, port {}", charter.name(), charter.listen().getHostString(), port);
     }
 
@@ -46,9 +50,25 @@
         return port;
     }
 
+    /**
+     * Takes in what may change while serving: where discovery is. What was read at the start and can't change
+     * is named and left, and a file that can't be used changes nothing. No stream notices any of it.
+     */
+    synchronized void reload(String file) {
+        try {
+            Charter anew = Charter.read(file);
+            String fixed = charter.fixed(anew);
+            LOG.info("{} read again, discovery at {}:{}{}", file, anew.discovery().getHostString(),
+                    anew.discovery().getPort(), fixed.isEmpty() ? "" : "; takes a restart: " + fixed);
+            roster.follow(anew.discovery());
+        } catch (Charter.Unusable wrong) {
+            LOG.warn("{}; the file before stays in force", wrong.getMessage());
+        }
+    }
+
     @Override
     public void close() throws InterruptedException {
-        watching.interrupt();
+        roster.close();
         streams.close();
         turning.interrupt();
     }
@@ -67,9 +87,10 @@
 
     /** Serves until the process is told to end; answers an exit status where it can't begin or go on. */
     public static int run(Map<String, String> environment) throws InterruptedException {
+        String file = environment.get("RELAY_CONFIG");
         Charter charter;
         try {
-            charter = Charter.read(environment.get("RELAY_CONFIG"));
+            charter = Charter.read(file);
         } catch (Charter.Unusable wrong) {
             System.err.println(wrong.getMessage());
             return UNUSABLE;
@@ -77,14 +98,17 @@
         Serve serve;
         try {
             serve = new Serve(charter);
+            // Before it listens: the signal's usual effect would end the process.
+            Signal.handle(new Signal("HUP"), signal -> serve.reload(file));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(serve, charter.name()), "stop"));
+            serve.start();
         } catch (NumberFormatException wrong) {
-            System.err.println(environment.get("RELAY_CONFIG") + ": field settings: " + wrong.getMessage());
+            System.err.println(file + ": field settings: " + wrong.getMessage());
             return UNUSABLE;
         } catch (IOException failure) {
             System.err.println("cannot listen on " + charter.listen() + ": " + failure.getMessage());
             return FAILED;
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(serve, charter.name()), "stop"));
         serve.turning.join();
         return FAILED;
     }
--- a/src/test/java/rockshift/net/GovernorTest.java
+++ b/src/test/java/rockshift/net/GovernorTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.sun.management.UnixOperatingSystemMXBean;
+import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -136,16 +137,26 @@
     }
 
     private String charter(String listen, int sockets, String terms, String... known) throws IOException {
+        return charter(discovery, listen, sockets, terms, known);
+    }
+
+    private String charter(Discovery at, String listen, int sockets, String terms, String... known)
+            throws IOException {
         String text = "{\"name\":\"n1\",\"listen\":\"" + listen + "\",\"discovery\":\"127.0.0.1:"
-                + discovery.listener.getLocalPort() + "\",\"seed\":\"fe429af2f6dae94c\",\"peers\":[\"x\"],"
+                + at.listener.getLocalPort() + "\",\"seed\":\"fe429af2f6dae94c\",\"peers\":[\"x\"],"
                 + "\"limits\":{\"cores\":1.0,\"sockets\":" + sockets + "},\"known\":" + list(7, true, known)
                 + ",\"settings\":" + terms + "}";
         return Files.writeString(folder.resolve("charter.json"), text).toString();
     }
 
     private Serve serve(int sockets, String... known) throws Exception {
-        Serve serve = new Serve(Charter.read(charter("127.0.0.1:0", sockets, TERMS, known)));
+        return started(charter("127.0.0.1:0", sockets, TERMS, known));
+    }
+
+    private Serve started(String file) throws Exception {
+        Serve serve = new Serve(Charter.read(file));
         open.add(serve);
+        serve.start();
         return serve;
     }
 
@@ -481,6 +492,70 @@
         assertThat(proxy.hear("lines", "s-3:").get("lines")).as("nothing was lost").doesNotContain(":0.0,");
     }
 
+    // ---- another file ----
+
+    /** The signal's usual effect ended the process. The watch of the old address was held, and would be for 20 s. */
+    @Test
+    void aNewFileUnderLoadMovesTheWatchAndNothingElse() throws Exception {
+        String file = charter("127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0), entry("s-2", "Ready", 0));
+        Serve serve = started(file);
+        Peer proxy = proxy(serve, 3);
+        proxy.hear("ticket", "");
+        discovery.say(list(41, true, entry("s-1", "Ready", 0), entry("s-2", "Ready", 0)));
+        await("a watch", () -> discovery.calls.size() == 2);
+        try (Discovery other = new Discovery()) {
+            charter(other, "127.0.0.1:9", 1024, TERMS, entry("s-old", "Ready", 0));
+            serve.reload(file);
+            other.say(list(3, true, entry("s-1", "Ready", 0), entry("s-3", "Ready", 0)));
+            assertThat(proxy.hear("lines", "s-3:").get("lines")).contains("s-2:0.0").doesNotContain("s-old");
+            await("a watch there", () -> other.calls.size() == 2);
+            assertThat(other.calls).containsExactly("GET /discovery/hosts HTTP/1.1",
+                    "GET /discovery/hosts?index=3&wait=20000 HTTP/1.1");
+            serve.reload(file);
+            other.say(list(4, false, entry("s-1", "Gone", 0)));
+            proxy.hear("lines", "s-1:0.0");
+            assertThat(discovery.calls).as("left alone").hasSize(2);
+        }
+        awaitLog("takes a restart: listen");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{\"seed\":\"x\"}", "{\"discovery\":\"127.0.0.1:99999\"}", "{\"name\":\"n1\",\"lis"})
+    void aNewFileThatCannotBeUsedLeavesTheOldInForce(String text) throws Exception {
+        String file = charter("127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0));
+        Serve serve = started(file);
+        Peer proxy = proxy(serve, 3);
+        proxy.hear("ticket", "");
+        Files.writeString(Path.of(file), text);
+        serve.reload(file);
+        Files.delete(Path.of(file));
+        serve.reload(file);
+        discovery.say(list(41, true, entry("s-1", "Ready", 0), entry("s-3", "Ready", 0)));
+        proxy.hear("lines", "s-3:");
+        assertThat(logged.toString(StandardCharsets.UTF_8).lines().filter(line -> line.contains("stays in force")))
+                .hasSize(2).allMatch(line -> line.contains(file));
+    }
+
+    /** The signal's usual effect is the process's end. */
+    @Test
+    void aProcessOutlivesSighupAndEndsOnSigterm() throws Exception {
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp", System.getProperty("java.class.path"), "rockshift.Main", "serve");
+        builder.environment().put("RELAY_CONFIG", charter("127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0)));
+        Process process = builder.start();
+        open.add(process::destroyForcibly);
+        try (BufferedReader log = process.errorReader()) {
+            await("serves", () -> log.lines().anyMatch(line -> line.contains("n1 serves on")));
+            for (int i = 0; i < 2; i++) {
+                new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+                await("read again", () -> log.lines().anyMatch(line -> line.contains("read again")));
+            }
+            process.destroy();
+            assertThat(process.waitFor(LONG, TimeUnit.MILLISECONDS)).isTrue();
+            assertThat(process.exitValue()).isZero();
+        }
+    }
+
     // ---- start ----
 
     @ParameterizedTest
@@ -518,8 +593,7 @@
     @Test
     void aFailureInTheModuleIsLoggedAndEndsNothing() throws Exception {
         String terms = TERMS.replace("\"fixed_cost\":3.0", "\"push_price\":\"dear\"");
-        Serve serve = new Serve(Charter.read(charter("127.0.0.1:0", 1024, terms, entry("s-1", "Ready", 0))));
-        open.add(serve);
+        Serve serve = started(charter("127.0.0.1:0", 1024, terms, entry("s-1", "Ready", 0)));
         Peer proxy = proxy(serve, 3);
         awaitLog("failure in the module");
         proxy.assertAnswered();
