Drop a spoilt message alone, and give strangers 1.5 s to join

Ruled out: memory (57 of 144 MB), the module (same decisions), discovery. At fault: Streams.take ended a party on Broken from a field; Streams.connected made room for nobody within the first second, and nothing ended who did not join; a replaced stream stayed until room was short. Resp now tells Broken (unreadable: ends) from Spoilt (readable: a known party loses that message, a stranger its connection). Spans, counts, means and loads beyond any use, reports of another zone or proxy, names without a value and load reports without the load are Spoilt too. 24 descriptors are the program's own by count, so 48 are set aside for 64.

--- a/src/main/java/rockshift/net/Resp.java
+++ b/src/main/java/rockshift/net/Resp.java
@@ -45,6 +45,7 @@
     static final String BUSY = "util";
     static final String CLASS = "kind";
     static final String SERIAL = "version";
+    static final String DELAY = "lag_ms";
     // Names of what goes.
     static final String CLASSES = "classes";
     static final String WHOLE = "whole";
@@ -56,7 +57,7 @@
     static final String MARK = "ticket";
     static final String MORE = "more";
 
-    /** Bytes that are no message, or one that may not be; the code names the reason. */
+    /** Bytes that are no message: nothing after them can be read either. The code names the reason. */
     static final class Broken extends Exception {
         private static final long serialVersionUID = 1L;
         final String code;
@@ -67,6 +68,17 @@
         }
     }
 
+    /** A message that can be read and not be used; the next one may be good. It keeps no trace: many may come. */
+    static final class Spoilt extends Exception {
+        private static final long serialVersionUID = 1L;
+        final String code;
+
+        Spoilt(String code, String what) {
+            super(what, null, false, false);
+            this.code = code;
+        }
+    }
+
     private byte[] bytes = new byte[USUAL];
     private int end;
     /** Where the message begins, and how far it was read. */
@@ -121,8 +133,8 @@
         }
         if (strings < 0) {
             strings = number('*');
-            if (strings == 0 || strings > 0 && strings % 2 == 0) {
-                throw new Broken("malformed", "a kind, then names with values");
+            if (strings == 0) {
+                throw new Broken("malformed", "a message without a kind");
             }
         }
         while (strings > 0 && read < strings && text()) {
@@ -192,9 +204,16 @@
         return string(0);
     }
 
+    /** Whether each name has a value. */
+    void paired() throws Spoilt {
+        if (strings % 2 == 0) {
+            throw new Spoilt("bad-field", kind() + " with a name that has no value");
+        }
+    }
+
     /** A field's value, or null where the message has none. */
     private String find(String name) {
-        for (int i = 1; i < strings; i += 2) {
+        for (int i = 1; i + 1 < strings; i += 2) {
             if (is(i, name)) {
                 return string(i + 1);
             }
@@ -211,29 +230,33 @@
         return same;
     }
 
-    String text(String name) throws Broken {
+    boolean has(String name) {
+        return find(name) != null;
+    }
+
+    String text(String name) throws Spoilt {
         String value = find(name);
         if (value == null) {
-            throw new Broken("bad-field", kind() + " without " + name);
+            throw new Spoilt("bad-field", kind() + " without " + name);
         }
         return value;
     }
 
     /** A number that is neither below 0 nor beyond all use. */
-    double number(String name) throws Broken {
+    double number(String name) throws Spoilt {
         return amount(name, text(name));
     }
 
-    int whole(String name) throws Broken {
+    int whole(String name) throws Spoilt {
         double value = number(name);
         if (value != (int) value) {
-            throw new Broken("bad-field", name + " as a whole number, not " + value);
+            throw new Spoilt("bad-field", name + " as a whole number, not " + value);
         }
         return (int) value;
     }
 
     /** One value of a list of pairs, or null where the message or the list has none. */
-    Double paired(String name, String key) throws Broken {
+    Double paired(String name, String key) throws Spoilt {
         String list = find(name);
         if (list == null) {
             return null;
@@ -246,7 +269,7 @@
         return null;
     }
 
-    private static double amount(String name, String text) throws Broken {
+    private static double amount(String name, String text) throws Spoilt {
         try {
             double value = Double.parseDouble(text);
             if (value >= 0 && value <= LARGEST) {
@@ -255,7 +278,7 @@
         } catch (NumberFormatException wrong) {
             // Told below, with what is no number that can be used.
         }
-        throw new Broken("bad-field", name + " as a number, not '" + text + "'");
+        throw new Spoilt("bad-field", name + " as a number, not '" + text + "'");
     }
 
     /** The bytes of one message. */
--- a/src/main/java/rockshift/net/Streams.java
+++ b/src/main/java/rockshift/net/Streams.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import org.apache.hc.core5.io.CloseMode;
@@ -29,7 +30,8 @@
 
 /**
  * The listener and the connections of proxies, collectors and strangers: bytes in, bytes out, and who each
- * party is. It owns the sockets and the bytes that wait for them. It must never wait for the module, for
+ * party is. It owns the sockets and the bytes that wait for them, and what may come in: a spoilt message of a
+ * known party is dropped whole, and nothing of it reaches the module. It must never wait for the module, for
  * writing or for another party, and what one party does may cost that party its connection and no more.
  */
 final class Streams {
@@ -42,16 +44,26 @@
     private static final int UNREAD_PONGS = 2 << 10;
     /** Bytes of all unfinished long messages together: a third of the heap. */
     private static final int UNFINISHED = 20 << 20;
+    /** Ms: the longest span or mean time that a report may tell of, far more than waits behind a broken stream. */
+    private static final int LONGEST = 600_000;
+    /** Transactions a ms: more than a zone's proxies could bring. */
+    private static final int MOST_A_MILLI = 1_000;
+    /** Share of its time that a replica may say it was busy: noise brings it a little above 1. */
+    private static final int MOST_BUSY = 2;
     /** Characters of what is logged of a party's own words. */
     private static final int QUOTED = 100;
     /** Connections that may wait to be accepted: all proxies dialling at once. */
     private static final int BACKLOG = 1024;
-    /** Descriptors that are not for parties: the program's files, selectors, listener and discovery; and
+    /** Descriptors that are not for parties: the program's own, 24 and two calls of discovery by count; and
      * those of them that hold connections which are being taken, or ended to make room. */
-    private static final int RESERVED = 64;
+    private static final int RESERVED = 48;
     private static final int PASSING = 16;
-    /** Nanoseconds that a stranger has to say who it is before it must make room: far more than it takes. */
-    private static final long TO_SPEAK = 1_000_000_000;
+    /** Ms that a stranger has to say who it is: the protocol leaves it 1 s and wants it told within 3 s. */
+    private static final int TO_JOIN = 1_500;
+    /** Ms that it has where room is short, and without a word until it is looked at: a party speaks at once. */
+    private static final int TO_JOIN_CROWDED = 300;
+    /** Ms between two looks at who says nothing. */
+    private static final int LOOK = 100;
     /** Nanoseconds between two looks whether there is room again. */
     private static final long ROOM_PAUSE = 1_000_000;
     /** Ms for ending all connections: a planned restart leaves 0.7 s. */
@@ -62,6 +74,8 @@
     private final Set<String> zones;
     private final List<String> classes;
     private final int proxies;
+    /** Whether reports of load tell how busy a replica was. */
+    private final boolean loads;
     private final int most;
     private final DefaultListeningIOReactor reactor;
     // Used by the reactor's one thread alone.
@@ -76,9 +90,10 @@
         zones = Set.of(terms.get("zones").split(","));
         classes = Charter.classNames(terms);
         proxies = (int) Double.parseDouble(terms.get("proxies"));
+        loads = List.of(terms.getOrDefault("load.values", "").split(",")).contains(Resp.BUSY);
         most = Math.max(1, descriptors - RESERVED);
         IOReactorConfig one = IOReactorConfig.custom().setIoThreadCount(1).setBacklogSize(BACKLOG)
-                .setSoReuseAddress(true).setTcpNoDelay(true).build();
+                .setSoReuseAddress(true).setTcpNoDelay(true).setSelectInterval(TimeValue.ofMilliseconds(LOOK)).build();
         reactor = new DefaultListeningIOReactor((session, attachment) -> new Party(session), one, null, null,
                 null, failure -> LOG.error("failure of the listener", failure), null,
                 null, session -> session.close(CloseMode.IMMEDIATE), this::worker);
@@ -126,8 +141,10 @@
         private volatile String reason;
         private String about = "";
         private String name = "stranger";
-        private boolean collector;
+        /** The zone of a collector; the number of a proxy. */
+        private String zone;
         private int proxy = -1;
+        private int dropped;
 
         Party(IOSession session) {
             this.session = session;
@@ -136,11 +153,11 @@
 
         @Override
         public void connected(IOSession same) {
-            session.setSocketTimeout(Timeout.DISABLED);
+            session.setSocketTimeout(Timeout.ofMilliseconds(TO_JOIN_CROWDED));
             if (parties.size() >= most) {
-                // Who says nothing or came anew makes room, but not before what it says could be read.
-                Party oldest = parties.stream().filter(Party::spare).findFirst().orElse(this);
-                if (oldest == this || System.nanoTime() - oldest.since < TO_SPEAK) {
+                // Who says nothing makes room, but not before what it says could be read.
+                Party oldest = parties.stream().filter(Party::stranger).findFirst().orElse(this);
+                if (oldest.age() < TO_JOIN_CROWDED) {
                     end("crowded", "");
                     return;
                 }
@@ -150,18 +167,29 @@
             parties.add(this);
         }
 
-        /** A stranger, or one whose machine vanished: nothing ends its connection when it dials again. */
-        private boolean spare() {
-            return newest.get(name) != this;
+        private long age() {
+            return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - since);
+        }
+
+        /** A stranger's time runs whether it speaks or not; a quiet stream is a stream. */
+        private void look() {
+            if (stranger() && age() > TO_JOIN) {
+                end("not-joined", "");
+            }
         }
 
         private boolean stranger() {
-            return !collector && proxy < 0;
+            return zone == null && proxy < 0;
         }
 
+        /** A party has one connection, the newest: of a machine that vanished nothing else ends the old one. */
         private void named(String name) {
             this.name = name;
-            newest.put(name, this);
+            session.setSocketTimeout(Timeout.DISABLED);
+            Party before = newest.put(name, this);
+            if (before != null) {
+                before.end("replaced", "");
+            }
         }
 
         @Override
@@ -176,7 +204,7 @@
             try {
                 resp.feed(piece.flip());
                 while (reason == null && resp.next()) {
-                    if (!take()) {
+                    if (!taken()) {
                         end("flood", queued + " messages wait for the module");
                     }
                 }
@@ -185,13 +213,31 @@
             } finally {
                 unfinished += resp.held() - Resp.USUAL;
             }
+            look();
             if (unfinished > UNFINISHED && resp.held() > Resp.USUAL) {
                 end("flood", "too many unfinished messages");
             }
         }
 
-        /** Takes in one message; false where too many of this party wait for the module already. */
-        private boolean take() throws Resp.Broken {
+        /**
+         * Takes in one message; false where too many of this party wait for the module already. One that can't
+         * be used ends a stranger. A known party loses the message alone, as those around it may be good.
+         */
+        private boolean taken() throws Resp.Broken {
+            try {
+                resp.paired();
+                return take();
+            } catch (Resp.Spoilt spoilt) {
+                if (stranger()) {
+                    end(spoilt.code, spoilt.getMessage());
+                } else if (dropped++ == 0) {
+                    LOG.warn("dropped a message of {}: {}", name, quoted(spoilt.code + " " + spoilt.getMessage()));
+                }
+                return true;
+            }
+        }
+
+        private boolean take() throws Resp.Spoilt {
             return switch (resp.kind()) {
                 case Resp.PING -> {
                     send(PONG, UNREAD_PONGS);
@@ -199,67 +245,87 @@
                 }
                 case Resp.COLLECTOR -> {
                     require(stranger(), "a collector that was something else");
-                    named("collector of " + zone());
-                    collector = true;
+                    String told = zone();
+                    named("collector of " + told);
+                    zone = told;
                     yield true;
                 }
                 case Resp.JOINED -> {
                     require(stranger(), "a proxy that was something else");
                     int number = numbered();
-                    String zone = zone();
+                    String told = zone();
                     double rate = resp.number(Resp.USUAL_RATE);
                     named("proxy " + number);
                     proxy = number;
-                    yield turns.joined(queued, number, zone, rate, this);
+                    yield turns.joined(queued, number, told, rate, this);
                 }
                 case Resp.HEARD -> {
-                    require(collector, "a report from no collector");
-                    int count = resp.whole(Resp.COUNT);
-                    int failed = resp.whole(Resp.FAILED);
-                    field(failed <= count, Resp.FAILED);
-                    yield turns.heard(queued, zone(), Roster.number(resp.text(Resp.REPLICA)), count, failed,
-                            tenths(Resp.MEAN_TIME), tenths(Resp.SPAN), resp.paired(Resp.LOAD, Resp.BUSY));
+                    require(zone != null, "a report from no collector");
+                    field(zone().equals(zone), Resp.ZONE);
+                    yield turns.heard(queued, zone, Roster.number(resp.text(Resp.REPLICA)), counted(),
+                            resp.whole(Resp.FAILED), tenths(Resp.MEAN_TIME), tenths(Resp.SPAN), busy());
                 }
                 case Resp.USAGE -> {
                     require(!stranger(), "a report from a stranger");
+                    int number = numbered();
+                    field(proxy < 0 || number == proxy, Resp.PROXY);
                     String type = resp.text(Resp.CLASS);
                     field(classes.contains(type), Resp.CLASS);
-                    yield turns.usage(queued, numbered(), type, resp.whole(Resp.COUNT), tenths(Resp.SPAN));
+                    yield turns.usage(queued, number, type, counted(), tenths(Resp.SPAN));
                 }
                 case Resp.APPLIED -> {
-                    require(proxy >= 0 && numbered() == proxy, "a mark of another proxy");
+                    require(proxy >= 0, "a mark of no proxy");
+                    field(numbered() == proxy, Resp.PROXY);
+                    resp.number(Resp.DELAY);
                     yield turns.applied(queued, proxy, resp.whole(Resp.SERIAL), this);
                 }
-                default -> throw new Resp.Broken("unknown-kind", "'" + resp.kind() + "'");
+                default -> throw new Resp.Spoilt("unknown-kind", "'" + resp.kind() + "'");
             };
         }
 
-        private void require(boolean so, String what) throws Resp.Broken {
+        private void require(boolean so, String what) throws Resp.Spoilt {
             if (!so) {
-                throw new Resp.Broken("unexpected", what);
+                throw new Resp.Spoilt("unexpected", what);
             }
         }
 
-        private void field(boolean fits, String field) throws Resp.Broken {
+        private void field(boolean fits, String field) throws Resp.Spoilt {
             if (!fits) {
-                throw new Resp.Broken("bad-field", field + " '" + resp.text(field) + "'");
+                throw new Resp.Spoilt("bad-field", field + " '" + resp.text(field) + "'");
             }
         }
 
-        private String zone() throws Resp.Broken {
-            String zone = resp.text(Resp.ZONE);
-            field(zones.contains(zone), Resp.ZONE);
-            return zone;
+        private String zone() throws Resp.Spoilt {
+            String told = resp.text(Resp.ZONE);
+            field(zones.contains(told), Resp.ZONE);
+            return told;
         }
 
-        private int numbered() throws Resp.Broken {
+        private int numbered() throws Resp.Spoilt {
             int number = resp.whole(Resp.PROXY);
             field(number < proxies, Resp.PROXY);
             return number;
         }
 
-        private long tenths(String name) throws Resp.Broken {
-            return (long) (resp.number(name) * Turns.TENTHS_PER_MILLI);
+        /** What a report counts: no more than its span holds, and no more of it failed. */
+        private int counted() throws Resp.Spoilt {
+            int count = resp.whole(Resp.COUNT);
+            field(count <= MOST_A_MILLI * resp.number(Resp.SPAN), Resp.COUNT);
+            field(resp.whole(Resp.FAILED) <= count, Resp.FAILED);
+            return count;
+        }
+
+        private long tenths(String name) throws Resp.Spoilt {
+            double millis = resp.number(name);
+            field(millis <= LONGEST, name);
+            return (long) (millis * Turns.TENTHS_PER_MILLI);
+        }
+
+        /** A replica's load where one is told; a report of load without it is spoilt where the terms have it. */
+        private Double busy() throws Resp.Spoilt {
+            Double busy = resp.paired(Resp.LOAD, Resp.BUSY);
+            field(busy == null ? !loads || !resp.has(Resp.LOAD) : busy <= MOST_BUSY, Resp.LOAD);
+            return busy;
         }
 
         /** Called by the module's thread; the reactor's writes. */
@@ -295,15 +361,19 @@
 
         private void end(String code, String what) {
             if (reason == null) {
-                about = what.substring(0, Math.min(QUOTED, what.length())).replaceAll("\\p{Cntrl}", "?");
+                about = quoted(what);
                 reason = code;
                 session.close(CloseMode.IMMEDIATE);
             }
         }
 
+        private static String quoted(String what) {
+            return what.substring(0, Math.min(QUOTED, what.length())).replaceAll("\\p{Cntrl}", "?");
+        }
+
         @Override
         public void timeout(IOSession same, Timeout limit) {
-            // No connection has a time-out: a quiet stream is a stream.
+            look();
         }
 
         @Override
@@ -325,7 +395,8 @@
             if (proxy >= 0) {
                 turns.left(proxy, this);
             }
-            LOG.info("closed {} from {}: {} {}", name, from, reason == null ? "stopping" : reason, about);
+            LOG.info("closed {} from {}: {} {}{}", name, from, reason == null ? "stopping" : reason, about,
+                    dropped > 0 ? "; " + dropped + " messages dropped" : "");
         }
     }
 }
