Forget replicas that are gone for good, in the module and in the host

Seen by reading: Serve's names, Tables' withdrawn and shut only grow; the module forgets a replica after 60 s, but never one that stands in a table of a hall whose proxies all went to another governor, as changes() looks at requests in use alone. Names are the module's thread's own now and go with Orders.forget; unused tables are emptied. Test: a hundred generations.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -416,13 +416,7 @@
 
     /** Request weights: shares of demand, by place and class. */
     private void weighDemand() {
-        for (Place place : places) {
-            place.hottest = 0;
-            for (Request request : place.requests) {
-                request.oldWeight = request.weight;
-                request.weight = 0;
-            }
-        }
+        places.forEach(Place::reckon);
         expected = 0;
         for (Proxy proxy : proxies.values()) {
             for (int k = 0; k < classes && proxy.place != null; k++) {
@@ -729,14 +723,20 @@
             }
         }
         for (Place place : places) {
-            place.laid = place.joined > 0;
-            place.sent = 0;
-            place.full = false;
+            place.published();
+            if (!place.laid) {
+                // No batch would take out who leaves while nobody is there. It is laid anew for who joins.
+                place.empty(orders);
+            }
             place.requests.forEach(request -> request.paths.values().removeIf(path -> path.published == 0
                     && !allowed(path) && path.link.paths.remove(path)));
         }
-        replicas.values().removeIf(replica -> replica.health == Listed.Health.GONE && !replica.inTables()
-                && now > replica.changed + REMEMBERED);
+        for (Replica old : List.copyOf(replicas.values())) {
+            if (old.health == Listed.Health.GONE && !old.inTables() && now > old.changed + REMEMBERED) {
+                replicas.remove(old.id);
+                orders.forget(old.id);
+            }
+        }
     }
 
     /** What differs enough from what was sent: removals first, then levels and new lines, then by size. */
--- a/src/main/java/rockshift/Orders.java
+++ b/src/main/java/rockshift/Orders.java
@@ -23,6 +23,9 @@
     /** Asks to be woken once after a delay in tenths of a millisecond. */
     void wake(long delay);
 
+    /** Tells that a replica left for good: it stands in no table, and is not named again unless it is listed anew. */
+    void forget(long replica);
+
     /** Leaves a line for the staff on call. */
     void log(String line);
 }
--- a/src/main/java/rockshift/Place.java
+++ b/src/main/java/rockshift/Place.java
@@ -48,6 +48,34 @@
         }
     }
 
+    /** Ends the batch: the tables of a place that has proxies are up to it. */
+    void published() {
+        laid = joined > 0;
+        sent = 0;
+        full = false;
+    }
+
+    /** Takes all lines out of tables that nobody uses. */
+    void empty(Orders orders) {
+        for (Request request : requests) {
+            for (Path path : request.paths.values()) {
+                if (path.published > 0) {
+                    path.published = 0;
+                    orders.line(request.number, path.link.id, 0);
+                }
+            }
+        }
+    }
+
+    /** Begins a new reckoning of demand. */
+    void reckon() {
+        hottest = 0;
+        for (Request request : requests) {
+            request.oldWeight = request.weight;
+            request.weight = 0;
+        }
+    }
+
     private void count(Replica replica, int one) {
         replica.heldNear += near(replica) ? one : 0;
         replica.heldFar += near(replica) ? 0 : one;
--- a/src/main/java/rockshift/drill/Drill.java
+++ b/src/main/java/rockshift/drill/Drill.java
@@ -218,6 +218,11 @@
             start("NOTIFY_ME").append(Codec.micros(delay)).append(" round\n");
         }
 
+        @Override
+        public void forget(long replica) {
+            // The simulator keeps replicas by the numbers that it gave them.
+        }
+
         @Override
         public void log(String line) {
             start("RECORD").append(line).append('\n');
--- a/src/main/java/rockshift/net/Roster.java
+++ b/src/main/java/rockshift/net/Roster.java
@@ -12,9 +12,9 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -61,7 +61,6 @@
 
     private final Thread thread = new Thread(this, "roster");
     private final Turns turns;
-    private final Map<Long, String> names;
     private final HttpAsyncRequester client;
     /** Where discovery is from now on, as told last; the roster's thread goes there when it is interrupted. */
     private volatile HttpHost told;
@@ -72,10 +71,9 @@
     private long version = -1;
     private String complaint = "";
 
-    Roster(InetSocketAddress discovery, Turns turns, Map<Long, String> names) {
+    Roster(InetSocketAddress discovery, Turns turns) {
         told = host(discovery);
         this.turns = turns;
-        this.names = names;
         client = AsyncRequesterBootstrap.bootstrap()
                 .setIOReactorConfig(IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).build())
                 .create();
@@ -91,10 +89,8 @@
         }
     }
 
-    /** Takes in a list: names first, as orders may follow at once. */
-    static void take(Listing listing, Map<Long, String> names, Turns turns) {
-        names.putAll(listing.names);
-        turns.listed(listing.entries, !listing.whole);
+    static void take(Listing listing, Turns turns) {
+        turns.listed(listing.entries, !listing.whole, listing.names);
     }
 
     private static HttpHost host(InetSocketAddress address) {
@@ -140,7 +136,7 @@
             try {
                 Listing listing = ask();
                 version = listing.version;
-                take(listing, names, turns);
+                take(listing, turns);
                 complaint = "";
             } catch (IOException | ExecutionException | TimeoutException | RuntimeException failure) {
                 // The client answers with one of the last kind where a connection ends under a call.
@@ -204,7 +200,7 @@
         Long version = null;
         Boolean whole = null;
         List<Listed> entries = new ArrayList<>();
-        Map<Long, String> names = new ConcurrentHashMap<>();
+        Map<Long, String> names = new HashMap<>();
         boolean listed = false;
         expect(json, JsonToken.START_OBJECT);
         while (json.nextToken() != JsonToken.END_OBJECT) {
--- a/src/main/java/rockshift/net/Serve.java
+++ b/src/main/java/rockshift/net/Serve.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sun.misc.Signal;
@@ -26,11 +25,10 @@
 
     Serve(Charter charter) {
         this.charter = charter;
-        Map<Long, String> names = new ConcurrentHashMap<>();
-        Turns turns = new Turns(charter.seed(), charter.terms(), names::get);
-        Roster.take(charter.known(), names, turns);
+        Turns turns = new Turns(charter.seed(), charter.terms());
+        Roster.take(charter.known(), turns);
         turning = new Thread(turns, "turns");
-        roster = new Roster(charter.discovery(), turns, names);
+        roster = new Roster(charter.discovery(), turns);
         streams = new Streams(turns, charter.terms(), charter.descriptors());
     }
 
--- a/src/main/java/rockshift/net/Tables.java
+++ b/src/main/java/rockshift/net/Tables.java
@@ -12,7 +12,6 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.LongConsumer;
-import java.util.function.LongFunction;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.slf4j.Logger;
@@ -64,7 +63,8 @@
         }
     }
 
-    private final LongFunction<String> names;
+    /** Of replicas that the module knows: what they are called outside. */
+    private final Map<Long, String> names = new HashMap<>();
     private final List<String> classNames;
     private final LongConsumer waker;
     private final Map<Integer, Table> tables = new HashMap<>();
@@ -74,12 +74,16 @@
     private final Map<Integer, Set<Long>> shut = new HashMap<>();
     private int serial;
 
-    Tables(LongFunction<String> names, List<String> classNames, LongConsumer waker) {
-        this.names = names;
+    Tables(List<String> classNames, LongConsumer waker) {
         this.classNames = classNames;
         this.waker = waker;
     }
 
+    /** What listed replicas are called, before the module may name them. */
+    void named(Map<Long, String> listed) {
+        names.putAll(listed);
+    }
+
     /** A proxy is there under a new stream, which holds whatever the proxy held. */
     void joined(int proxy, Stream stream) {
         seats.put(proxy, new Seat(stream));
@@ -172,11 +176,19 @@
         waker.accept(delay);
     }
 
+    /** A proxy that still keeps off it is told otherwise as soon as a table names it again. */
+    @Override
+    public void forget(long replica) {
+        names.remove(replica);
+        withdrawn.remove(replica);
+        shut.values().forEach(kept -> kept.remove(replica));
+    }
+
     /** The module knows replicas by number; the staff know them by name. */
     @Override
     public void log(String line) {
         LOG.info(NUMBERED.matcher(line).replaceAll(found -> "replica " + Matcher
-                .quoteReplacement(names.apply(Long.parseLong(found.group(1))))));
+                .quoteReplacement(names.get(Long.parseLong(found.group(1))))));
     }
 
     /** Sends each proxy what this turn ordered for it, as one message. */
@@ -216,7 +228,7 @@
                 first.addAll(List.of(Resp.WHOLE, "1"));
             }
             StringJoiner list = new StringJoiner(",");
-            lines.forEach((replica, weight) -> list.add(names.apply(replica) + ":" + plain(weight)));
+            lines.forEach((replica, weight) -> list.add(names.get(replica) + ":" + plain(weight)));
             first.addAll(List.of(Resp.LINES, list.toString()));
         }
         for (Level level : levels.values()) {
@@ -269,7 +281,7 @@
 
     private String named(Set<Long> replicas) {
         StringJoiner list = new StringJoiner(",");
-        replicas.forEach(replica -> list.add(names.apply(replica)));
+        replicas.forEach(replica -> list.add(names.get(replica)));
         return list.toString();
     }
 
--- a/src/main/java/rockshift/net/Turns.java
+++ b/src/main/java/rockshift/net/Turns.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongConsumer;
-import java.util.function.LongFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import rockshift.Listed;
@@ -38,9 +37,9 @@
     private final long spacing;
     private long wakeAt = Long.MAX_VALUE;
 
-    Turns(long seed, Map<String, String> terms, LongFunction<String> names) {
+    Turns(long seed, Map<String, String> terms) {
         logic = new Logic(now(), seed, terms);
-        tables = new Tables(names, Charter.classNames(terms), delay -> wakeAt = now() + delay);
+        tables = new Tables(Charter.classNames(terms), delay -> wakeAt = now() + delay);
         spacing = Long.parseLong(terms.getOrDefault("turn.spacing", "0"));
     }
 
@@ -96,8 +95,11 @@
     }
 
     /** A list is never refused: it comes one at a time. */
-    void listed(List<Listed> entries, boolean changes) {
-        queue.add(now -> logic.listed(now, entries, changes));
+    void listed(List<Listed> entries, boolean changes, Map<Long, String> names) {
+        queue.add(now -> {
+            tables.named(names);
+            logic.listed(now, entries, changes);
+        });
     }
 
     @Override
--- a/src/test/java/rockshift/FakeHost.java
+++ b/src/test/java/rockshift/FakeHost.java
@@ -1,5 +1,7 @@
 package rockshift;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -18,6 +20,7 @@
     final Map<Integer, Double> levels = new HashMap<>();
     final List<String> said = new ArrayList<>();
     final List<String> logged = new ArrayList<>();
+    final TreeSet<Long> forgotten = new TreeSet<>();
     final TreeSet<Integer> bound = new TreeSet<>();
     private final Map<Integer, Integer> binds = new HashMap<>();
     private int marked;
@@ -149,6 +152,12 @@
         said.add("wake " + delay);
     }
 
+    @Override
+    public void forget(long replica) {
+        forgotten.add(replica);
+        tables.values().forEach(lines -> { assertThat(lines).doesNotContainKey(replica); });
+    }
+
     @Override
     public void log(String line) {
         logged.add(line);
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -5,6 +5,7 @@
 import static rockshift.FakeHost.SECOND;
 import static rockshift.FakeHost.ready;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.TreeSet;
@@ -509,4 +510,30 @@
         }
         assertThat(first).isLessThan(host.levels.get(0) - 0.1);
     }
+
+    // ---- a long day ----
+
+    /** Under new ids all day: nothing is left of the first, not even in a hall whose proxies all went elsewhere. */
+    @Test
+    void ofAHundredGenerationsOfReplicasNothingIsLeftButTheLast() {
+        FakeHost host = new FakeHost().fleet(4);
+        host.logic.left(host.now, 1);
+        for (long generation = 1; generation <= 100; generation++) {
+            List<Listed> whole = new ArrayList<>();
+            for (long i = 1; i <= 4; i++) {
+                whole.add(ready(100 * generation + i, i % 2 == 1 ? "east" : "west", 0));
+            }
+            host.logic.listed(host.now, whole, false);
+            host.second(good(100 * generation + 1, 20, 0.4), new Report(100 * generation + 3, 20, 20, null));
+            host.pass(1);
+        }
+        host.pass(70);
+        assertThat(host.forgotten).hasSize(100 * 4);
+        assertThat(host.tables.values()).allSatisfy(lines ->
+                assertThat(lines.keySet()).allMatch(replica -> replica > 10_000));
+        host.logic.joined(host.now, 1, "west", 10);
+        host.pass(1);
+        assertThat(host.tables.get(host.tableOf(1)).keySet()).containsExactlyInAnyOrder(10_001L, 10_002L, 10_003L,
+                10_004L);
+    }
 }
--- a/src/test/java/rockshift/net/GovernorTest.java
+++ b/src/test/java/rockshift/net/GovernorTest.java
@@ -479,7 +479,7 @@
     /** While the module stands still, one party's flood must cost nobody else a connection. */
     @Test
     void onlyWhoHasMuchWaitingIsRefusedByAFullQueue() {
-        Turns still = new Turns(7, Map.of("zones", "east", "classes", "0"), Map.of(1L, "s-1")::get);
+        Turns still = new Turns(7, Map.of("zones", "east", "classes", "0"));
         AtomicInteger flood = new AtomicInteger();
         while (still.heard(flood, "east", 1, 1, 0, 1, 1, null)) {
             assertThat(flood.get()).isLessThanOrEqualTo(Turns.MOST_WAITING);
--- a/src/test/java/rockshift/net/TablesTest.java
+++ b/src/test/java/rockshift/net/TablesTest.java
@@ -6,11 +6,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 class TablesTest {
-    private final Tables tables = new Tables(Map.of(1L, "one", 2L, "two", 3L, "three")::get,
-            List.of("cut", "licence"), delay -> { });
+    private final Tables tables = new Tables(List.of("cut", "licence"), delay -> { });
+
+    @BeforeEach
+    void name() {
+        tables.named(Map.of(1L, "one", 2L, "two", 3L, "three"));
+    }
 
     /** A stream that writes down the messages, a line each; their parts stand apart by a bar. */
     private static final class Paper extends ArrayList<String> implements Tables.Stream {
@@ -118,4 +123,23 @@
         assertThat(later.get(1)).isEqualTo("update back one");
         assertThat(other).isEmpty();
     }
+
+    /** A replica that left for good leaves nothing; one that comes back under its id is told of as any other. */
+    @Test
+    void whatIsForgottenIsNamedAgainOnlyAsItIsListedAnew() {
+        Paper paper = join(4);
+        tables.line(0, 1, 1);
+        tables.line(0, 2, 1);
+        tables.bind(0, 4, 1);
+        tables.withdraw(2, true);
+        tables.flush();
+        tables.line(0, 2, 0);
+        tables.flush();
+        tables.forget(2);
+        paper.clear();
+        tables.named(Map.of(2L, "anew"));
+        tables.line(0, 2, 0.5);
+        tables.flush();
+        assertThat(paper).containsExactly("update classes cut lines anew:0.5 back anew");
+    }
 }
