Count no line as waiting that was written before an answered message

Belief checked: load in the channel. A proxy whose machine vanished never answers its marks; for REMEMBERED (60 s) all it was sent counted as waiting, and join() and ordinary batches stopped at half the channel's limit. Messages leave the channel one after the other, so an answer from any proxy proves that all written before has left; only later marks count now (Channel.queue). It should hold too for proxies that stand still or lose their stream unseen. It could do harm only where messages overtake one another. The story fails without it.

--- a/src/main/java/rockshift/Channel.java
+++ b/src/main/java/rockshift/Channel.java
@@ -57,22 +57,27 @@
 
     static void answered(Proxy proxy, int serial) {
         if (proxy.marks.stream().anyMatch(mark -> mark[0] == serial)) {
-            while (proxy.marks.removeFirst()[0] != serial) {
-                continue;
+            while (proxy.marks.getFirst()[0] != serial) {
+                proxy.marks.removeFirst();
             }
+            proxy.answered = proxy.marks.removeFirst()[1];
         }
     }
 
-    /** Lines that wait: by the usual pace, or as many as nobody has answered but for those on the way. */
+    /**
+     * Lines that wait: by the usual pace, or as many as nobody has answered but for those on the way. Messages
+     * leave in turn, so none written before one that any proxy answered still waits, however silent its own is.
+     */
     double queue(long now, double way, long remembered, Collection<Proxy> proxies) {
         if (now != at) {
             queued = Math.max(0, queued - (now - at) * pace);
             at = now;
             unanswered = 0;
+            long left = proxies.stream().mapToLong(proxy -> proxy.answered).max().orElse(0);
             for (Proxy proxy : proxies) {
                 proxy.marks.removeIf(mark -> mark[1] < now - remembered);
                 for (long[] mark : proxy.marks) {
-                    unanswered += mark[2];
+                    unanswered += mark[1] < left ? 0 : mark[2];
                 }
             }
         }
--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -409,8 +409,9 @@
             view.shunned = true;
             view.rest = now - view.returned > RETURN + GATHER ? REST : Math.min(LONGEST_REST, 2 * view.rest);
             dues.add(new Due(now + view.rest + chance.nextLong(GATHER), false, replica.id, far));
-            notes.add(String.format(Locale.ROOT, "replica %d shunned%s, failures %.2f, median %.2f",
-                    replica.id, far ? " by far" : "", replica.seen().failureShare(), medianFailures));
+            notes.add(String.format(Locale.ROOT,
+                    "replica %d shunned%s, failures %.2f, median %.2f, load %.2f", replica.id,
+                    far ? " by far" : "", replica.seen().failureShare(), medianFailures, busy(replica)));
         }
     }
 
@@ -725,7 +726,6 @@
         for (Place place : places) {
             place.published();
             if (!place.laid) {
-                // No batch would take out who leaves while nobody is there. It is laid anew for who joins.
                 place.empty(orders);
             }
             place.requests.forEach(request -> request.paths.values().removeIf(path -> path.published == 0
--- a/src/main/java/rockshift/Place.java
+++ b/src/main/java/rockshift/Place.java
@@ -55,7 +55,7 @@
         full = false;
     }
 
-    /** Takes all lines out of tables that nobody uses. */
+    /** Takes all lines out while nobody is there, as no batch would take out who leaves; who joins has them laid. */
     void empty(Orders orders) {
         for (Request request : requests) {
             for (Path path : request.paths.values()) {
--- a/src/main/java/rockshift/Proxy.java
+++ b/src/main/java/rockshift/Proxy.java
@@ -14,6 +14,8 @@
     final ArrayDeque<Long> messages = new ArrayDeque<>();
     /** Marks without an answer: serial, time, lines. */
     final ArrayDeque<long[]> marks = new ArrayDeque<>();
+    /** When the newest message that it has answered was written. */
+    long answered;
     /** Lines of the message that it gets in this turn. */
     double lines;
     Place place;
--- a/src/test/java/rockshift/FakeHost.java
+++ b/src/test/java/rockshift/FakeHost.java
@@ -25,6 +25,7 @@
     private final Map<Integer, Integer> binds = new HashMap<>();
     private int marked;
     boolean answering = true;
+    final TreeSet<Integer> silent = new TreeSet<>();
     final Logic logic;
     long now = 100 * SECOND;
 
@@ -78,7 +79,8 @@
         for (long end = now + (long) (seconds * SECOND); now < end;) {
             now += SECOND / 10;
             if (answering) {
-                bound.forEach(proxy -> logic.caughtUp(now, proxy, marked));
+                bound.stream().filter(proxy -> !silent.contains(proxy))
+                        .forEach(proxy -> logic.caughtUp(now, proxy, marked));
             }
             logic.woken(now);
             turn();
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -392,6 +392,26 @@
         assertThat(host.tables.get(0)).containsOnlyKeys(20L);
     }
 
+    /** On sockets: machines vanished without a word, and what they never answered kept all others waiting. */
+    @Test
+    void whatSilentProxiesNeverAnswerHoldsNobodyElseUp() {
+        FakeHost host = new FakeHost("channel.limit", "400", "channel.pace", "1000").crowd(8, 6, 10);
+        host.pass(2);
+        host.silent.addAll(List.of(2, 3, 4, 5));
+        for (long replica = 8; replica > 2; replica--) {
+            String zone = replica % 2 == 1 ? "east" : "west";
+            host.logic.listed(host.now, List.of(new Listed(replica, zone, "plain", Listed.Health.GONE, 0)), true);
+            host.pass(3);
+        }
+        for (int i = 0; i < 10; i++) {
+            host.logic.listed(host.now, List.of(ready(20 + i, "east", 0)), true);
+            host.pass(3);
+        }
+        host.logic.joined(host.now, 6, "east", 10);
+        host.pass(2);
+        assertThat(host.bound).contains(6);
+    }
+
     // ---- levels ----
 
     private static FakeHost overworked(FakeHost host) {
