--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -52,9 +52,8 @@
     private static final double NEAR = 3;
     /** Mean lines that a path bears beside, where all answers come late from afar: slow ways are left. */
     private static final double LATE = 0.5;
-    /** Iterations a report round (the design's 5). */
+    /** Iterations a report round (the design's 5); bisection steps: enough for 12 digits. */
     private static final int ITERATIONS = 5;
-    /** Bisection steps: enough for 12 digits. */
     private static final int BISECTIONS = 40;
     /** Share of an even line that every line keeps: enough to go on hearing of the replica. */
     private static final double FLOOR = 0.02;
@@ -77,6 +76,8 @@
     private static final double FEW_TRIES = 3;
     /** Share of failures beside twice the median that shuns a replica: what all suffer shuns nobody. */
     private static final double EXCESS_FAILURES = 0.35;
+    /** Share of the fleet that may be shunned at a time: the rest must bear all. Could keep a dead one. */
+    private static final double MOST_SHUNNED = 0.25;
     /** Load above which failures are put down to too much work. */
     private static final double OVERWORKED = 0.8;
     /** Tenths of a ms: memory of what came and was tried; two to four report periods. */
@@ -379,17 +380,19 @@
         }
     }
 
-    /** A replica is judged by its share of failures against the fleet's median. */
+    /** Replicas are judged by their share of failures against the fleet's median, who loses most first. */
     private void judge() {
         double[] shares = replicas.values().stream().filter(Replica::usable).map(Replica::seen)
                 .filter(view -> view.tries >= FEW_TRIES).mapToDouble(View::failureShare).sorted().toArray();
         medianFailures = shares.length == 0 ? 0 : shares[(shares.length - 1) / 2];
-        for (Replica replica : replicas.values()) {
+        double room = MOST_SHUNNED * links.size() - links.stream().filter(link -> link.near.shunned).count();
+        for (Replica replica : links.stream().sorted(Comparator.comparing(r -> -r.seen().lost)).toList()) {
             // A cut between zones looks like death from one side only: while its own zone does well with a
             // replica, the others alone shun it. Could keep a dying one for those near it a little longer.
-            boolean wellNear = replica.near.tries >= FEW_TRIES && !failing(replica.near);
-            if (replica.usable() && failing(wellNear ? replica.far : replica.seen())) {
-                shun(replica, wellNear ? replica.far : replica.near);
+            boolean well = replica.near.tries >= FEW_TRIES && !failing(replica.near);
+            if (replica.usable() && failing(well ? replica.far : replica.seen()) && (well || room > 0)) {
+                room -= well || replica.near.shunned ? 0 : 1;
+                shun(replica, well ? replica.far : replica.near);
             }
         }
     }
@@ -724,10 +727,7 @@
             }
         }
         for (Place place : places) {
-            place.published();
-            if (!place.laid) {
-                place.empty(orders);
-            }
+            place.published(orders);
             place.requests.forEach(request -> request.paths.values().removeIf(path -> path.published == 0
                     && !allowed(path) && path.link.paths.remove(path)));
         }
--- a/src/main/java/rockshift/Place.java
+++ b/src/main/java/rockshift/Place.java
@@ -48,16 +48,15 @@
         }
     }
 
-    /** Ends the batch: the tables of a place that has proxies are up to it. */
-    void published() {
+    /**
+     * Ends the batch: the tables of a place that has proxies are up to it. Others keep no lines, as no batch
+     * would take out who leaves; they are laid anew for who joins.
+     */
+    void published(Orders orders) {
         laid = joined > 0;
         sent = 0;
         full = false;
-    }
-
-    /** Takes all lines out while nobody is there, as no batch would take out who leaves; who joins has them laid. */
-    void empty(Orders orders) {
-        for (Request request : requests) {
+        for (Request request : laid ? List.<Request>of() : requests) {
             for (Path path : request.paths.values()) {
                 if (path.published > 0) {
                     path.published = 0;
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -412,6 +412,18 @@
         assertThat(host.bound).contains(6);
     }
 
+    /** Incident ra532b2: 13 of 30 replicas lost half of their tries, all were shunned, and the rest was overrun. */
+    @Test
+    void noMoreAreShunnedThanTheRestCanBearAndThoseThatLoseMostFirst() {
+        FakeHost host = new FakeHost().fleet(8);
+        for (int i = 0; i < 6; i++) {
+            host.second(new Report(1, 20, 10, 0.4), new Report(2, 20, 20, null), new Report(3, 20, 14, 0.4),
+                    good(4, 20, 0.4), good(5, 20, 0.4), good(6, 20, 0.4), good(7, 20, 0.4), good(8, 20, 0.4));
+        }
+        assertThat(host.logged.stream().filter(line -> line.contains("shunned,")).map(line -> line.split(" ")[1]))
+                .containsExactlyInAnyOrder("2", "3");
+    }
+
     // ---- levels ----
 
     private static FakeHost overworked(FakeHost host) {
