--- a/src/main/java/rockshift/net/Resp.java
+++ b/src/main/java/rockshift/net/Resp.java
@@ -205,7 +205,7 @@
     }
 
     /** Whether each name has a value. */
-    void paired() throws Spoilt {
+    void complete() throws Spoilt {
         if (strings % 2 == 0) {
             throw new Spoilt("bad-field", kind() + " with a name that has no value");
         }
--- a/src/main/java/rockshift/net/Streams.java
+++ b/src/main/java/rockshift/net/Streams.java
@@ -60,7 +60,7 @@
     private static final int PASSING = 16;
     /** Ms that a stranger has to say who it is: the protocol leaves it 1 s and wants it told within 3 s. */
     private static final int TO_JOIN = 1_500;
-    /** Ms that it has where room is short, and without a word until it is looked at: a party speaks at once. */
+    /** Ms that it has where room is short, and between looks at one that is idle: a party speaks as it dials. */
     private static final int TO_JOIN_CROWDED = 300;
     /** Ms between two looks at who says nothing. */
     private static final int LOOK = 100;
@@ -223,9 +223,9 @@
          * Takes in one message; false where too many of this party wait for the module already. One that can't
          * be used ends a stranger. A known party loses the message alone, as those around it may be good.
          */
-        private boolean taken() throws Resp.Broken {
+        private boolean taken() {
             try {
-                resp.paired();
+                resp.complete();
                 return take();
             } catch (Resp.Spoilt spoilt) {
                 if (stranger()) {
