Read each field of a report once, and say lost tries, log lines and the end in one place

Found on rereading; behaviour stays. Streams read and parsed a report's count and failures twice, and checked zone and proxy against the terms before comparing them with the party's own, which implies it. judge() built a View for each comparison of its sort; Replica.lost() serves it and seen(). Serve.stop took a name that Serve holds. Place.published hid its condition in the loop. Stories counted log lines in five copies of one expression.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -386,7 +386,7 @@
                 .filter(view -> view.tries >= FEW_TRIES).mapToDouble(View::failureShare).sorted().toArray();
         medianFailures = shares.length == 0 ? 0 : shares[(shares.length - 1) / 2];
         double room = MOST_SHUNNED * links.size() - links.stream().filter(link -> link.near.shunned).count();
-        for (Replica replica : links.stream().sorted(Comparator.comparing(r -> -r.seen().lost)).toList()) {
+        for (Replica replica : links.stream().sorted(Comparator.comparing(r -> -r.lost())).toList()) {
             // A cut between zones looks like death from one side only: while its own zone does well with a
             // replica, the others alone shun it. Could keep a dying one for those near it a little longer.
             boolean well = replica.near.tries >= FEW_TRIES && !failing(replica.near);
--- a/src/main/java/rockshift/Place.java
+++ b/src/main/java/rockshift/Place.java
@@ -56,13 +56,12 @@
         laid = joined > 0;
         sent = 0;
         full = false;
-        for (Request request : laid ? List.<Request>of() : requests) {
-            for (Path path : request.paths.values()) {
-                if (path.published > 0) {
-                    path.published = 0;
-                    orders.line(request.number, path.link.id, 0);
-                }
-            }
+        if (!laid) {
+            requests.stream().flatMap(request -> request.paths.values().stream())
+                    .filter(path -> path.published > 0).forEach(path -> {
+                        path.published = 0;
+                        orders.line(path.request.number, path.link.id, 0);
+                    });
         }
     }
 
--- a/src/main/java/rockshift/Replica.java
+++ b/src/main/java/rockshift/Replica.java
@@ -44,9 +44,13 @@
         return from.equals(zone) ? near : far;
     }
 
+    double lost() {
+        return near.lost + far.lost;
+    }
+
     View seen() {
         View all = new View();
-        all.add(near.tries + far.tries, near.lost + far.lost, far.late, near.busy + far.busy);
+        all.add(near.tries + far.tries, lost(), far.late, near.busy + far.busy);
         return all;
     }
 
--- a/src/main/java/rockshift/net/Serve.java
+++ b/src/main/java/rockshift/net/Serve.java
@@ -72,9 +72,9 @@
     }
 
     /** What happens once the process is told to end: nothing is left to wait for. */
-    private static void stop(Serve serve, String name) {
+    private static void stop(Serve serve) {
         try {
-            LOG.info("{} stops", name);
+            LOG.info("{} stops", serve.charter.name());
             serve.close();
         } catch (InterruptedException hurried) {
             Thread.currentThread().interrupt();
@@ -98,7 +98,7 @@
             serve = new Serve(charter);
             // Before it listens: the signal's usual effect would end the process.
             Signal.handle(new Signal("HUP"), signal -> serve.reload(file));
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(serve, charter.name()), "stop"));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(serve), "stop"));
             serve.start();
         } catch (NumberFormatException wrong) {
             System.err.println(file + ": field settings: " + wrong.getMessage());
--- a/src/main/java/rockshift/net/Streams.java
+++ b/src/main/java/rockshift/net/Streams.java
@@ -261,10 +261,12 @@
                 }
                 case Resp.HEARD -> {
                     require(zone != null, "a report from no collector");
-                    field(zone().equals(zone), Resp.ZONE);
-                    field(resp.whole(Resp.FAILED) <= counted(), Resp.FAILED);
-                    yield turns.heard(queued, zone, Roster.number(resp.text(Resp.REPLICA)), counted(),
-                            resp.whole(Resp.FAILED), tenths(Resp.MEAN_TIME), tenths(Resp.SPAN), busy());
+                    field(resp.text(Resp.ZONE).equals(zone), Resp.ZONE);
+                    int count = counted();
+                    int failed = resp.whole(Resp.FAILED);
+                    field(failed <= count, Resp.FAILED);
+                    yield turns.heard(queued, zone, Roster.number(resp.text(Resp.REPLICA)), count, failed,
+                            tenths(Resp.MEAN_TIME), tenths(Resp.SPAN), busy());
                 }
                 case Resp.USAGE -> {
                     require(!stranger(), "a report from a stranger");
@@ -278,7 +280,7 @@
                 }
                 case Resp.APPLIED -> {
                     require(proxy >= 0, "a mark of no proxy");
-                    field(numbered() == proxy, Resp.PROXY);
+                    field(resp.whole(Resp.PROXY) == proxy, Resp.PROXY);
                     resp.number(Resp.DELAY);
                     yield turns.applied(queued, proxy, resp.whole(Resp.SERIAL), this);
                 }
--- a/src/test/java/rockshift/net/GovernorTest.java
+++ b/src/test/java/rockshift/net/GovernorTest.java
@@ -28,6 +28,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -249,6 +250,11 @@
         }
     }
 
+    /** What was logged with a text in it. */
+    private Stream<String> lines(String text) {
+        return logged.toString(StandardCharsets.UTF_8).lines().filter(line -> line.contains(text));
+    }
+
     private void awaitLog(String text) {
         await("logged: " + text, () -> logged.toString(StandardCharsets.UTF_8).contains(text));
     }
@@ -338,7 +344,7 @@
         proxy.hear("ticket", "");
         new Peer(serve).say(words).ended();
         awaitLog(code);
-        assertThat(logged.toString(StandardCharsets.UTF_8).lines().filter(line -> line.contains("closed")))
+        assertThat(lines("closed"))
                 .as("one line for the connection").hasSize(1);
         proxy.assertAnswered();
     }
@@ -365,7 +371,7 @@
         collector.assertAnswered();
         collector.close();
         awaitLog("5 messages dropped");
-        assertThat(logged.toString(StandardCharsets.UTF_8).lines().filter(line -> line.contains("dropped a message")))
+        assertThat(lines("dropped a message"))
                 .as("one line for the trouble").hasSize(1);
     }
 
@@ -425,7 +431,7 @@
         silent.ended();
         half.ended();
         proxy.assertAnswered();
-        assertThat(logged.toString(StandardCharsets.UTF_8).lines().filter(line -> line.contains("not-joined")))
+        assertThat(lines("not-joined"))
                 .hasSize(3);
     }
 
@@ -485,7 +491,7 @@
             fresh.assertAnswered();
         }
         awaitLog("closed collector of east");
-        assertThat(logged.toString(StandardCharsets.UTF_8).lines().filter(line -> line.contains("replaced"))).hasSize(2);
+        assertThat(lines("replaced")).hasSize(2);
     }
 
     /** While the module stands still, one party's flood must cost nobody else a connection. */
@@ -607,7 +613,7 @@
         serve.reload(file);
         discovery.say(list(41, true, entry("s-1", "Ready", 0), entry("s-3", "Ready", 0)));
         proxy.hear("lines", "s-3:");
-        assertThat(logged.toString(StandardCharsets.UTF_8).lines().filter(line -> line.contains("stays in force")))
+        assertThat(lines("stays in force"))
                 .hasSize(2).allMatch(line -> line.contains(file));
     }
 
