--- /dev/null
+++ b/src/main/java/rockshift/cluster/Engine.java
@@ -0,0 +1,259 @@
+package rockshift.cluster;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import rockshift.raft.Ballot;
+import rockshift.raft.Effects;
+import rockshift.raft.Entry;
+import rockshift.raft.Member;
+import rockshift.raft.Message;
+import rockshift.raft.Raft;
+import rockshift.raft.Refusal;
+import rockshift.raft.Rules;
+import rockshift.raft.Sessions;
+import rockshift.raft.Snapshot;
+import rockshift.raft.Timing;
+
+/**
+ * One member put together: the protocol, the sessions, and who waits for what. It does no I/O, reads no clock and starts no
+ * thread: it is used by one thread, which hands in the time first, then what came, and then has it {@link #run}. The
+ * rehearsed world and the real one use this same class.
+ */
+public final class Engine implements Effects {
+    /** Requests that may wait for an answer: more are told to come again. */
+    private static final int MOST_WAITING = 20_000;
+
+    /** What surrounds a member. Calls come on the member's thread and must not wait. */
+    public interface Surroundings {
+        void send(Message message);
+
+        /** Has a save made durable elsewhere, which ends in {@link Engine#saved}. */
+        void save(long ticket, Ballot ballot, long from, List<Entry> entries, Snapshot snapshot);
+
+        /** Has a snapshot kept elsewhere, which ends in {@link Engine#kept}. */
+        void keep(Snapshot snapshot);
+
+        void answer(long request, Answer answer);
+
+        /** An entry was applied here, and what it came to. */
+        void applied(Entry entry, Sessions.Outcome outcome);
+
+        /** All that was applied was replaced by a snapshot's state. */
+        void restored(long index);
+
+        void log(String line);
+    }
+
+    /**
+     * What a request is told.
+     *
+     * @param refused null, or why it had no effect; {@code unknown} where that can't be told: ask again, with the same serial
+     * @param leader the address to ask, if another one leads
+     */
+    public record Answer(String refused, byte[] body, long index, String leader) {
+        public static final String UNKNOWN = "unknown";
+    }
+
+    /** When a snapshot is taken: after so many entries, or so many bytes of them. */
+    public record Compaction(long entries, long bytes) { }
+
+    private record Waiting(long request, long term) { }
+
+    private final Raft raft;
+    private final Sessions sessions;
+    private final Compaction compaction;
+    private final Surroundings around;
+    private final TreeMap<Long, Waiting> proposals = new TreeMap<>();
+    private boolean keeping;
+    private long keptAt;
+
+    public Engine(DurableLog.Recovered disk, Timing timing, Rules rules, RandomGenerator chance, long now,
+            Sessions.Machine machine, Compaction compaction, Surroundings around) throws IOException {
+        this.compaction = compaction;
+        this.around = around;
+        sessions = new Sessions(rules, machine);
+        raft = new Raft(disk.id(), timing, rules, chance, now, disk.ballot(), disk.snapshot(), disk.entries());
+        keptAt = disk.snapshot().index();
+        if (disk.snapshot().data().length > 0) {
+            Codec.restore(disk.snapshot().data(), sessions);
+        }
+    }
+
+    public Raft raft() {
+        return raft;
+    }
+
+    public Sessions sessions() {
+        return sessions;
+    }
+
+    // ---- what comes in --------------------------------------------------------------------------
+
+    public void tick(long now) {
+        raft.tick(now);
+    }
+
+    public void receive(Message message) {
+        raft.receive(message);
+    }
+
+    public void saved(long ticket) {
+        raft.saved(ticket);
+    }
+
+    /** Whether the disk takes what it is given. */
+    public void disk(boolean works) {
+        raft.disk(works);
+    }
+
+    /** A snapshot is on the disk, or (null) could not be kept. */
+    public void kept(Snapshot snapshot) {
+        keeping = false;
+        if (snapshot != null) {
+            raft.compacted(snapshot);
+        }
+    }
+
+    /** Opens a session under a number that its client drew. */
+    public void open(long request, long session) {
+        propose(request, Entry.Kind.OPEN, session, 0, new byte[0]);
+    }
+
+    public void change(long request, long session, long serial, byte[] body) {
+        propose(request, Entry.Kind.CHANGE, session, serial, body);
+    }
+
+    private void propose(long request, Entry.Kind kind, long session, long serial, byte[] body) {
+        if (proposals.size() >= MOST_WAITING) {
+            refuse(request, Refusal.BUSY);
+            return;
+        }
+        Refusal[] why = new Refusal[1];
+        long index = raft.propose(kind, session, serial, body, why);
+        if (why[0] != null) {
+            refuse(request, why[0]);
+        } else {
+            proposals.put(index, new Waiting(request, raft.term()));
+        }
+    }
+
+    /** Answers with the machine's image once that is known to be no older than the call. */
+    public void read(long request) {
+        raft.read(request);
+    }
+
+    public void member(long request, Member member, boolean remove) {
+        Refusal refusal = raft.change(member, remove);
+        if (refusal != null) {
+            refuse(request, refusal);
+        } else {
+            proposals.put(raft.log().last(), new Waiting(request, raft.term()));
+        }
+    }
+
+    public void transfer(long request, long to) {
+        Refusal refusal = raft.transfer(to);
+        if (refusal != null) {
+            refuse(request, refusal);
+        } else {
+            around.answer(request, new Answer(null, new byte[0], raft.commit(), null));
+        }
+    }
+
+    private void refuse(long request, Refusal refusal) {
+        Member leader = raft.members().get(raft.leader());
+        boolean elsewhere = refusal == Refusal.NOT_LEADER && leader != null;
+        around.answer(request, new Answer(refusal.code(), new byte[0], 0, elsewhere ? leader.address() : null));
+    }
+
+    // ---- what follows ---------------------------------------------------------------------------
+
+    /** Decides all that there is to decide now. */
+    public void run() {
+        while (raft.decide(this)) {
+            continue;
+        }
+        if (!raft.leads() && !proposals.isEmpty()) {
+            // Another leads now: whether these will be agreed is not known here, and nobody is kept waiting for it.
+            Member leader = raft.members().get(raft.leader());
+            proposals.values().forEach(waiting -> around.answer(waiting.request, new Answer(Answer.UNKNOWN, new byte[0],
+                    0, leader == null ? null : leader.address())));
+            proposals.clear();
+        }
+        boolean much = raft.applied() - keptAt >= compaction.entries()
+                || raft.log().bytes() > compaction.bytes() && raft.applied() > raft.snapshot().index();
+        if (much && !keeping) {
+            compact();
+        }
+    }
+
+    /** Takes a snapshot of what is applied; false if one is under way. */
+    public boolean compact() {
+        if (keeping || raft.applied() <= raft.snapshot().index()) {
+            return false;
+        }
+        try {
+            long index = raft.applied();
+            byte[] image = Codec.image(sessions.sessions(), sessions.machine().image());
+            keeping = true;
+            keptAt = index;
+            around.keep(new Snapshot(index, raft.log().term(index), raft.membersAt(index), image));
+            return true;
+        } catch (IOException failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+
+    @Override
+    public void save(long ticket, Ballot ballot, long from, List<Entry> entries, Snapshot snapshot) {
+        around.save(ticket, ballot, from, entries, snapshot);
+    }
+
+    @Override
+    public void send(Message message) {
+        around.send(message);
+    }
+
+    @Override
+    public void apply(Entry entry) {
+        Sessions.Outcome outcome = sessions.apply(entry);
+        around.applied(entry, outcome);
+        while (!proposals.isEmpty() && proposals.firstKey() <= entry.index()) {
+            Map.Entry<Long, Waiting> first = proposals.pollFirstEntry();
+            Waiting waiting = first.getValue();
+            boolean same = first.getKey() == entry.index() && waiting.term == entry.term();
+            around.answer(waiting.request, same
+                    ? new Answer(outcome.refused(), outcome.answer(), entry.index(), null)
+                    : new Answer(Answer.UNKNOWN, new byte[0], 0, null));
+        }
+    }
+
+    @Override
+    public void restore(Snapshot snapshot) {
+        try {
+            Codec.restore(snapshot.data(), sessions);
+        } catch (IOException damaged) {
+            throw new IllegalStateException("snapshot of entry " + snapshot.index() + ": " + damaged.getMessage(), damaged);
+        }
+        keptAt = snapshot.index();
+        around.restored(snapshot.index());
+    }
+
+    @Override
+    public void readable(long token) {
+        around.answer(token, new Answer(null, sessions.machine().image(), raft.applied(), null));
+    }
+
+    @Override
+    public void unreadable(long token) {
+        refuse(token, Refusal.NOT_LEADER);
+    }
+
+    @Override
+    public void log(String line) {
+        around.log(line);
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/kit/Explorer.java
@@ -0,0 +1,33 @@
+package rockshift.kit;
+
+import java.util.List;
+import java.util.function.Supplier;
+import java.util.stream.LongStream;
+
+/** Plays many seeds of a {@link World}, side by side. */
+public final class Explorer {
+    private Explorer() {
+    }
+
+    /** What so many seeds came to; the worlds that broke a promise, by seed. */
+    public record Findings(long seeds, long steps, long changes, List<World.Result> broken) {
+        public String line() {
+            return "explore: " + seeds + " seeds, " + steps + " steps, " + broken.size() + " violations";
+        }
+    }
+
+    public static Findings explore(long first, long seeds, int members, Supplier<Plant> plant) {
+        List<World.Result> results = LongStream.range(first, first + seeds).parallel()
+                .mapToObj(seed -> new World(seed, members, plant.get(), false).run()).toList();
+        return new Findings(seeds, results.stream().mapToLong(World.Result::steps).sum(),
+                results.stream().mapToLong(World.Result::changes).sum(),
+                results.stream().filter(result -> result.violation() != null).toList());
+    }
+
+    /** Plays seeds until one breaks a promise; answers how many it took, or -1 after so many. */
+    public static long until(long first, long most, int members, Supplier<Plant> plant) {
+        return LongStream.range(first, first + most).parallel()
+                .filter(seed -> new World(seed, members, plant.get(), false).run().violation() != null)
+                .findAny().orElse(-1);
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/kit/Plant.java
@@ -0,0 +1,43 @@
+package rockshift.kit;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+import rockshift.raft.Ballot;
+import rockshift.raft.Rules;
+import rockshift.raft.Sessions;
+
+/** What a world does as it should. A check of the checks overrides one method, and the explorer must find it. */
+public class Plant {
+    public Rules rules() {
+        return new Rules();
+    }
+
+    /** Whether disks say that they have synced without doing so. */
+    public boolean skipsSync() {
+        return false;
+    }
+
+    /** The ballot as it reaches the disk. */
+    public Ballot saved(Ballot ballot) {
+        return ballot;
+    }
+
+    /** The sessions as a member takes them from its own disk. */
+    public List<Sessions.Session> recovered(List<Sessions.Session> sessions) {
+        return sessions;
+    }
+
+    /** The number of a member whose disk was wiped. */
+    public long numberAfterWipe(long before, RandomGenerator chance) {
+        return number(chance);
+    }
+
+    static long number(RandomGenerator chance) {
+        return chance.nextLong() >>> 1 | 1;
+    }
+
+    /** How far clocks run from the true rate, at most. */
+    public double clocksApart() {
+        return 0.04;
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/raft/Progress.java
@@ -0,0 +1,62 @@
+package rockshift.raft;
+
+import java.util.ArrayDeque;
+
+/** What a leader knows of one other member, and how it sends to it. */
+final class Progress {
+    /** One message at a time until the logs are known to meet; many in flight; or a snapshot. */
+    enum Way { PROBE, REPLICATE, SNAPSHOT }
+
+    final long id;
+    Way way = Way.PROBE;
+    long match;
+    long next;
+    /** Last index of each message in flight. */
+    final ArrayDeque<Long> flight = new ArrayDeque<>();
+    boolean probing;
+    long heardAt;
+    /** The newest round that it answered, and when that was begun. */
+    long round;
+    long sentAt = Long.MIN_VALUE;
+    /** While a snapshot is sent: which one, up to where it is held, when a piece was sent last. */
+    Snapshot sending;
+    int offset;
+    long pieceAt;
+    final ClockWatch clock = new ClockWatch();
+
+    Progress(long id, long next, long now) {
+        this.id = id;
+        this.next = next;
+        heardAt = now;
+    }
+
+    void answered(long now, long round, long sentAt, long clockThere) {
+        heardAt = now;
+        this.round = Math.max(this.round, round);
+        this.sentAt = Math.max(this.sentAt, sentAt);
+        clock.seen(sentAt, now, clockThere);
+    }
+
+    void probe(long from) {
+        way = Way.PROBE;
+        probing = false;
+        flight.clear();
+        sending = null;
+        next = Math.max(match + 1, from);
+    }
+
+    void replicate() {
+        way = Way.REPLICATE;
+        probing = false;
+        sending = null;
+        next = Math.max(next, match + 1);
+    }
+
+    void snapshot(Snapshot snapshot) {
+        way = Way.SNAPSHOT;
+        flight.clear();
+        sending = snapshot;
+        offset = 0;
+        pieceAt = Long.MIN_VALUE;
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/raft/Raft.java
@@ -0,0 +1,921 @@
+package rockshift.raft;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import java.util.zip.CRC32C;
+
+/**
+ * One member's part in the protocol. The host calls an input method for each thing that happens, then {@link #decide}
+ * until that answers false; what is decided comes out through {@link Effects}. Inputs only update what is known. Times are
+ * tenths of a millisecond on the host's even clock; the host hands in the time before anything else, so that a member that
+ * stood still notices first. The conditions on which safety rests stand in {@link Rules}; docs/raft.md tells the rest.
+ */
+public final class Raft {
+    // ---- constants: unit, and the reason for the size -------------------------------------------
+    /** Messages in flight to one follower: a few round trips of a slow link, and a bound on what a dead one is owed. */
+    private static final int FLIGHT = 32;
+    /** Entries and bytes of one message: a part of the largest frame, and little to send again. */
+    private static final int MOST_ENTRIES = 512;
+    private static final int MOST_BYTES = 128 << 10;
+    /** Bytes of one piece of a snapshot. */
+    private static final int PIECE = 64 << 10;
+    /** Bytes of the largest snapshot that is taken in: a quarter of the smallest heap. */
+    public static final int LARGEST_SNAPSHOT = 16 << 20;
+    /** Bytes of the largest change. */
+    public static final int LARGEST_CHANGE = 64 << 10;
+    /** Entries and bytes that may wait to be committed: beyond it proposals are refused, not queued. */
+    private static final int MOST_OPEN = 20_000;
+    private static final long MOST_OPEN_BYTES = 8 << 20;
+    /** Reads that may wait for a round. */
+    private static final int MOST_READS = 4_096;
+    /** Entries by which one that joins may be behind as it gets its vote: a heartbeat's worth. */
+    private static final int CLOSE = 512;
+    /** Entries kept below a snapshot, so that who is a little behind needs no snapshot. */
+    private static final int TAIL = 2_000;
+
+    public enum Role { FOLLOWER, TRIAL, CANDIDATE, LEADER }
+
+    private record Read(long token, long round, long index) { }
+
+    private record Held(long ticket, Message message) { }
+
+    /** Where a member stands, for staff and for checks. */
+    public record Standing(Role role, long term, long leader, long commit, long applied, long saved, long first,
+            long last, Membership members, Map<Long, Long> matches, boolean leased, long heardAt) { }
+
+    // ---- state ----------------------------------------------------------------------------------
+    private final long id;
+    private final Timing timing;
+    private final Rules rules;
+    private final RandomGenerator chance;
+    private final Log log;
+    private final ArrayDeque<String> notes = new ArrayDeque<>();
+    private long now;
+    private Ballot ballot;
+    private Snapshot snapshot;
+    /** Memberships by the index from which they hold; the last is in force. */
+    private final TreeMap<Long, Membership> configs = new TreeMap<>();
+    private Role role = Role.FOLLOWER;
+    private long leader;
+    private long heardAt;
+    private long campaignAt;
+    private final Set<Long> given = new HashSet<>();
+    private long commit;
+    private long applied;
+    // What is durable: all entries up to here, and what a save under way will make so.
+    private long saved;
+    private long saving;
+    private long savingUpTo;
+    private boolean dirty;
+    private Ballot savedBallot;
+    private Ballot savingBallot;
+    private long unsavedFrom = Long.MAX_VALUE;
+    private Snapshot unsavedSnapshot;
+    private Snapshot unrestored;
+    private long savedTicket;
+    private long tickets;
+    private boolean diskWorks = true;
+    private final ArrayDeque<Held> held = new ArrayDeque<>();
+    // A leader's own.
+    private final LinkedHashMap<Long, Progress> followers = new LinkedHashMap<>();
+    private long round;
+    private long roundAt;
+    private long wordAt;
+    private long tellFrom;
+    private final ArrayDeque<Read> reads = new ArrayDeque<>();
+    private final ArrayDeque<Read> confirmed = new ArrayDeque<>();
+    private final ArrayDeque<Long> refusedReads = new ArrayDeque<>();
+    private long handTo;
+    private long handUntil;
+    private boolean handedOver;
+    private boolean driftTold;
+    // A snapshot that comes in pieces.
+    private Message.Piece coming;
+    private ByteArrayOutputStream came = new ByteArrayOutputStream();
+
+    /** A member as its disk has it: its ballot, its newest snapshot and the entries above the snapshot. */
+    public Raft(long id, Timing timing, Rules rules, RandomGenerator chance, long now, Ballot ballot, Snapshot snapshot,
+            List<Entry> entries) {
+        this.id = id;
+        this.timing = timing;
+        this.rules = rules;
+        this.chance = chance;
+        this.now = now;
+        this.ballot = ballot;
+        savedBallot = ballot;
+        savingBallot = ballot;
+        this.snapshot = snapshot;
+        log = new Log(snapshot.index(), snapshot.term());
+        configs.put(snapshot.index(), snapshot.members());
+        entries.forEach(this::take);
+        commit = snapshot.index();
+        applied = snapshot.index();
+        saved = log.last();
+        // It may have promised a lease just before it ended: it waits as one that has heard from a leader.
+        heardAt = now;
+        rest();
+    }
+
+    private void take(Entry entry) {
+        log.add(entry);
+        if (entry.kind() == Entry.Kind.MEMBERS) {
+            configs.put(entry.index(), entry.members());
+        }
+    }
+
+    private void rest() {
+        campaignAt = now + timing.election() + chance.nextLong(timing.election());
+    }
+
+    // ---- what is known --------------------------------------------------------------------------
+
+    public long id() {
+        return id;
+    }
+
+    public long term() {
+        return ballot.term();
+    }
+
+    public boolean leads() {
+        return role == Role.LEADER;
+    }
+
+    /** The leader that this member knows of, 0 if none. */
+    public long leader() {
+        return role == Role.LEADER ? id : leader;
+    }
+
+    public Membership members() {
+        return configs.lastEntry().getValue();
+    }
+
+    public long commit() {
+        return commit;
+    }
+
+    public long applied() {
+        return applied;
+    }
+
+    public Log log() {
+        return log;
+    }
+
+    public Snapshot snapshot() {
+        return snapshot;
+    }
+
+    /** Whether a leader that most hear is in touch: a leader knows by answers, a follower by its words. */
+    public boolean inTouch() {
+        return role == Role.LEADER ? now < contactAt() + timing.election()
+                : leader != 0 && now < heardAt + 2 * timing.election();
+    }
+
+    public Standing standing() {
+        Map<Long, Long> matches = new TreeMap<>();
+        followers.forEach((member, progress) -> matches.put(member, progress.match));
+        return new Standing(role, ballot.term(), leader(), commit, applied, saved, log.base() + 1, log.last(), members(),
+                matches, leaseHolds(), heardAt);
+    }
+
+    // ---- inputs ---------------------------------------------------------------------------------
+
+    /** Time passes. */
+    public void tick(long time) {
+        now = Math.max(now, time);
+        if (role == Role.LEADER) {
+            if (now >= contactAt() + timing.election()) {
+                notes.add("term " + ballot.term() + ": most members are out of reach, no longer leading");
+                follow(ballot.term(), 0);
+                return;
+            }
+            if (handTo != 0 && now >= handUntil) {
+                notes.add("hand-over to " + name(handTo) + " was not taken up");
+                handTo = 0;
+            }
+            if (now >= wordAt + timing.heartbeat()) {
+                speak();
+            }
+            abdicate();
+            admitJoining();
+        } else if (now >= campaignAt && diskWorks && members().votes(id)) {
+            campaign(rules.asksFirst(), false);
+        } else if (now >= campaignAt) {
+            rest();
+        }
+    }
+
+    /** Everything up to a save's ticket is durable. */
+    public void saved(long ticket) {
+        if (ticket != saving) {
+            return;
+        }
+        saving = 0;
+        savedTicket = ticket;
+        saved = Math.max(saved, Math.min(savingUpTo, log.last()));
+        if (role == Role.LEADER) {
+            advance();
+        }
+    }
+
+    /** Whether the disk takes what it is given. One whose disk does not works on, but neither leads nor campaigns. */
+    public void disk(boolean works) {
+        if (diskWorks != works) {
+            notes.add(works ? "disk takes entries again" : "disk takes nothing: no votes, no entries, until it does");
+        }
+        diskWorks = works;
+        abdicate();
+    }
+
+    /** A leader that can't save hands over to the voter that has most. */
+    private void abdicate() {
+        if (role == Role.LEADER && !diskWorks && handTo == 0) {
+            followers.values().stream().filter(other -> members().votes(other.id))
+                    .max(Comparator.comparingLong(other -> other.match)).ifPresent(next -> transfer(next.id));
+        }
+    }
+
+    /** Asks for a change to be agreed; answers its index, or leaves why not in the second place. */
+    public long propose(Entry.Kind kind, long session, long serial, byte[] body, Refusal[] why) {
+        Refusal refusal = role != Role.LEADER ? Refusal.NOT_LEADER : handTo != 0 ? Refusal.HANDING_OVER
+                : !diskWorks ? Refusal.DISK : body.length > LARGEST_CHANGE ? Refusal.TOO_LARGE
+                : log.last() - commit >= MOST_OPEN || openBytes() > MOST_OPEN_BYTES ? Refusal.BUSY : null;
+        if (refusal != null) {
+            why[0] = refusal;
+            return 0;
+        }
+        return add(new Entry(log.last() + 1, ballot.term(), kind, session, serial, body, null));
+    }
+
+    /** Bytes that wait to be committed, by their part of the entries that are held. */
+    private long openBytes() {
+        return log.bytes() * (log.last() - commit) / Math.max(1, log.last() - log.base());
+    }
+
+    /** Adds a member, changes what it does, or removes it (a null role). */
+    public Refusal change(Member member, boolean remove) {
+        Membership before = members();
+        Membership after = remove ? before.without(member.id()) : before.with(member);
+        Progress progress = followers.get(member.id());
+        Member known = before.get(member.id());
+        if (role != Role.LEADER) {
+            return Refusal.NOT_LEADER;
+        } else if (handTo != 0) {
+            return Refusal.HANDING_OVER;
+        } else if (!rules.settled(configs.lastKey(), commit, log.term(commit), ballot.term())) {
+            return Refusal.UNSETTLED;
+        } else if (remove && known == null) {
+            return Refusal.UNKNOWN_MEMBER;
+        } else if (after.voters() == 0) {
+            return Refusal.LAST_VOTER;
+        } else if (after.all().size() > Membership.MOST) {
+            return Refusal.TOO_MANY;
+        } else if (!remove && member.role() == Member.Role.VOTER && !before.votes(member.id())
+                && (progress == null || progress.match + CLOSE < commit)) {
+            return Refusal.NOT_CAUGHT_UP;
+        }
+        add(Entry.members(log.last() + 1, ballot.term(), after));
+        return null;
+    }
+
+    /** Hands over to another voter: it is brought up to date and then told to campaign. */
+    public Refusal transfer(long to) {
+        if (role != Role.LEADER) {
+            return Refusal.NOT_LEADER;
+        } else if (!members().votes(to)) {
+            return Refusal.UNKNOWN_MEMBER;
+        } else if (to != id) {
+            handTo = to;
+            handUntil = now + timing.election();
+            // From here on another may lead without waiting, however late the word reaches it.
+            handedOver = true;
+            handOver(followers.get(to));
+        }
+        return null;
+    }
+
+    private void handOver(Progress progress) {
+        if (handTo == progress.id && progress.match == log.last()) {
+            post(new Message.Campaign(id, progress.id, ballot.term()), 0);
+        }
+    }
+
+    /** Asks for leave to answer a read from what is applied here. */
+    public void read(long token) {
+        if (role != Role.LEADER || reads.size() + confirmed.size() >= MOST_READS) {
+            refusedReads.add(token);
+        } else if (leaseHolds()) {
+            confirmed.add(new Read(token, 0, commit));
+        } else {
+            reads.add(new Read(token, round + 1, -1));
+        }
+    }
+
+    /** What is applied was saved as a snapshot: the entries below it are no longer needed, but for a tail. */
+    public void compacted(Snapshot other) {
+        if (other.index() > snapshot.index() && other.index() <= applied) {
+            snapshot = other;
+            log.compact(Math.max(log.base(), other.index() - TAIL));
+            long kept = configs.floorKey(Math.max(log.base(), 0));
+            configs.headMap(kept, false).clear();
+        }
+    }
+
+    /** The membership that held at an index that is kept. */
+    public Membership membersAt(long index) {
+        return configs.floorEntry(index).getValue();
+    }
+
+    /** A message came. */
+    public void receive(Message message) {
+        if (message.to() != id) {
+            return;
+        }
+        if (message instanceof Message.Ask ask) {
+            asked(ask);
+        } else if (message.term() < ballot.term()) {
+            // A leader of an older term learns of ours, and ends; answers to what is long past mean nothing.
+            if (message instanceof Message.Append || message instanceof Message.Piece) {
+                post(new Message.Appended(id, message.from(), ballot.term(), false, 0, 0, 0, 0, 0, now), needs());
+            }
+        } else if (message instanceof Message.Vote vote && vote.trial() && vote.given()) {
+            if (role == Role.TRIAL && vote.term() == ballot.term() + 1) {
+                counted(vote.from());
+            }
+        } else {
+            if (message.term() > ballot.term()) {
+                follow(message.term(), 0);
+            }
+            if (message instanceof Message.Vote vote) {
+                if (role == Role.CANDIDATE && vote.given() && !vote.trial()) {
+                    counted(vote.from());
+                }
+            } else if (message instanceof Message.Append append) {
+                heard(append.from());
+                appended(append);
+            } else if (message instanceof Message.Piece piece) {
+                heard(piece.from());
+                pieced(piece);
+            } else if (message instanceof Message.Appended answer) {
+                answered(answer);
+            } else if (message instanceof Message.Taken taken) {
+                taken(taken);
+            } else if (message instanceof Message.Campaign && diskWorks && members().votes(id)
+                    && role != Role.LEADER) {
+                campaign(false, true);
+            }
+        }
+    }
+
+    // ---- elections ------------------------------------------------------------------------------
+
+    private void asked(Message.Ask ask) {
+        boolean leading = role == Role.LEADER;
+        boolean bound = !ask.forced() && (leading || rules.loyal(now, heardAt, timing));
+        if (ask.term() > ballot.term() && bound) {
+            // Nothing is learned of its term: one that is cut off must not depose who works.
+            return;
+        }
+        boolean fits = rules.upToDate(ask.lastIndex(), ask.lastTerm(), log.last(), log.lastTerm()) && diskWorks;
+        if (ask.trial()) {
+            boolean yes = ask.term() > ballot.term() && fits;
+            post(new Message.Vote(id, ask.from(), yes ? ask.term() : ballot.term(), true, yes), needs());
+            return;
+        }
+        if (ask.term() > ballot.term()) {
+            follow(ask.term(), 0);
+        }
+        boolean yes = ask.term() == ballot.term() && fits && (role == Role.FOLLOWER || role == Role.TRIAL)
+                && rules.free(ballot, ask.from());
+        if (yes) {
+            vote(new Ballot(ballot.term(), ask.from()));
+            role = Role.FOLLOWER;
+            rest();
+        }
+        post(new Message.Vote(id, ask.from(), ballot.term(), false, yes), needs());
+    }
+
+    private void vote(Ballot other) {
+        dirty |= !ballot.equals(other);
+        ballot = other;
+    }
+
+    private void campaign(boolean trial, boolean forced) {
+        role = trial ? Role.TRIAL : Role.CANDIDATE;
+        leader = 0;
+        given.clear();
+        rest();
+        if (!trial) {
+            vote(new Ballot(ballot.term() + 1, id));
+        }
+        long term = trial ? ballot.term() + 1 : ballot.term();
+        for (Member member : members().all()) {
+            if (member.id() != id && member.role() == Member.Role.VOTER) {
+                post(new Message.Ask(id, member.id(), term, log.last(), log.lastTerm(), trial, forced), needs());
+            }
+        }
+        // Its own vote counts once it is durable, like any other's.
+        post(new Message.Vote(id, id, term, trial, true), needs());
+    }
+
+    private void counted(long voter) {
+        given.add(voter);
+        if (rules.quorum(members(), given::contains)) {
+            if (role == Role.TRIAL) {
+                campaign(false, false);
+            } else {
+                lead();
+            }
+        }
+    }
+
+    private void lead() {
+        role = Role.LEADER;
+        leader = id;
+        handTo = 0;
+        handedOver = false;
+        driftTold = false;
+        followers.clear();
+        roundAt = now;
+        for (Member member : members().all()) {
+            if (member.id() != id) {
+                followers.put(member.id(), new Progress(member.id(), log.last() + 1, now));
+            }
+        }
+        notes.add("leads in term " + ballot.term() + " with " + log.last() + " entries, " + commit + " known agreed");
+        add(Entry.start(log.last() + 1, ballot.term()));
+        speak();
+    }
+
+    private void heard(long from) {
+        if (leader != from) {
+            notes.add("follows " + name(from) + " in term " + ballot.term());
+        }
+        role = Role.FOLLOWER;
+        leader = from;
+        heardAt = now;
+        rest();
+    }
+
+    private void follow(long term, long from) {
+        if (term > ballot.term()) {
+            vote(new Ballot(term, 0));
+        }
+        role = Role.FOLLOWER;
+        leader = from;
+        followers.clear();
+        handTo = 0;
+        reads.forEach(read -> refusedReads.add(read.token));
+        confirmed.forEach(read -> refusedReads.add(read.token));
+        reads.clear();
+        confirmed.clear();
+        rest();
+    }
+
+    // ---- the follower's log ---------------------------------------------------------------------
+
+    private void appended(Message.Append append) {
+        List<Entry> entries = append.entries();
+        long prev = append.prevIndex();
+        long prevTerm = append.prevTerm();
+        int known = 0;
+        // What a snapshot stands for is agreed, and so the same.
+        while (prev < log.base() && known < entries.size()) {
+            prev = entries.get(known).index();
+            prevTerm = entries.get(known).term();
+            known++;
+        }
+        if (prev >= log.base() && !rules.same(prevTerm, log.term(prev))) {
+            long hint = Math.min(prev - 1, log.last());
+            while (hint > log.base() && log.term(hint) > prevTerm) {
+                hint--;
+            }
+            post(new Message.Appended(id, append.from(), ballot.term(), false, hint, Math.max(0, log.term(hint)),
+                    append.prevIndex(), append.round(), append.sentAt(), now), needs());
+            return;
+        }
+        for (Entry entry : entries.subList(known, entries.size())) {
+            if (entry.index() <= log.last() && !rules.stands(entry.term(), log.term(entry.index()))) {
+                cut(entry.index());
+            }
+            if (entry.index() == log.last() + 1) {
+                take(entry);
+                dirty = true;
+                unsavedFrom = Math.min(unsavedFrom, entry.index());
+            }
+        }
+        long last = Math.max(prev, entries.isEmpty() ? 0 : entries.get(entries.size() - 1).index());
+        commit = Math.max(commit, Math.min(append.commit(), Math.min(last, log.last())));
+        // A disk that is behind does not make the member seem out of reach: what is durable is told at once.
+        long ready = rules.waits() ? Math.min(last, saved) : last;
+        post(match(append, ready), dirtyBallot());
+        if (ready < last) {
+            post(match(append, last), needs());
+        }
+    }
+
+    private Message match(Message.Append append, long match) {
+        return new Message.Appended(id, append.from(), ballot.term(), true, match, 0, 0, append.round(), append.sentAt(),
+                now);
+    }
+
+    private void cut(long from) {
+        log.cut(from);
+        configs.tailMap(from, true).clear();
+        saved = Math.min(saved, from - 1);
+        savingUpTo = Math.min(savingUpTo, from - 1);
+        unsavedFrom = Math.min(unsavedFrom, from);
+        dirty = true;
+    }
+
+    private void pieced(Message.Piece piece) {
+        if (piece.index() <= log.last() && log.term(piece.index()) == piece.snapshotTerm() || piece.index() <= commit) {
+            commit = Math.max(commit, Math.min(piece.index(), log.last()));
+            post(taken(piece, piece.total()), needs());
+            post(new Message.Appended(id, piece.from(), ballot.term(), true, Math.min(piece.index(), saved), 0, 0,
+                    piece.round(), piece.sentAt(), now), needs());
+            return;
+        }
+        if (piece.total() > LARGEST_SNAPSHOT) {
+            notes.add("a snapshot of " + piece.total() + " bytes is too large, left");
+            return;
+        }
+        if (coming == null || coming.index() != piece.index() || coming.snapshotTerm() != piece.snapshotTerm()
+                || coming.checksum() != piece.checksum() || coming.total() != piece.total()) {
+            coming = piece;
+            came = new ByteArrayOutputStream();
+        }
+        if (piece.offset() == came.size() && came.size() + piece.bytes().length <= piece.total()) {
+            came.writeBytes(piece.bytes());
+        }
+        if (came.size() < piece.total()) {
+            post(taken(piece, came.size()), 0);
+            return;
+        }
+        byte[] data = came.toByteArray();
+        coming = null;
+        came = new ByteArrayOutputStream();
+        if (checksum(data) != piece.checksum()) {
+            notes.add("snapshot of entry " + piece.index() + " came corrupt from " + name(piece.from()) + ", asked anew");
+            post(taken(piece, 0), 0);
+            return;
+        }
+        install(new Snapshot(piece.index(), piece.snapshotTerm(), piece.members(), data));
+        notes.add("snapshot of entry " + piece.index() + " taken from " + name(piece.from()));
+        post(taken(piece, piece.total()), needs());
+        post(new Message.Appended(id, piece.from(), ballot.term(), true, piece.index(), 0, 0, piece.round(),
+                piece.sentAt(), now), needs());
+    }
+
+    private Message taken(Message.Piece piece, int offset) {
+        return new Message.Taken(id, piece.from(), ballot.term(), piece.index(), offset, piece.round(), piece.sentAt(),
+                now);
+    }
+
+    private void install(Snapshot other) {
+        snapshot = other;
+        log.reset(other.index(), other.term());
+        configs.clear();
+        configs.put(other.index(), other.members());
+        commit = other.index();
+        saved = 0;
+        savingUpTo = 0;
+        unsavedFrom = Long.MAX_VALUE;
+        unsavedSnapshot = other;
+        dirty = true;
+    }
+
+    private static int checksum(byte[] data) {
+        CRC32C sum = new CRC32C();
+        sum.update(data, 0, data.length);
+        return (int) sum.getValue();
+    }
+
+    // ---- the leader -----------------------------------------------------------------------------
+
+    private long add(Entry entry) {
+        take(entry);
+        dirty = true;
+        unsavedFrom = Math.min(unsavedFrom, entry.index());
+        for (Member member : members().all()) {
+            if (member.id() != id) {
+                followers.computeIfAbsent(member.id(), key -> new Progress(key, log.last(), now));
+            }
+        }
+        return entry.index();
+    }
+
+    /** Begins a round: a word to every follower, with entries where there are some to send. */
+    private void speak() {
+        round++;
+        roundAt = now;
+        wordAt = now;
+        tellFrom = commit + 1;
+        for (Progress progress : followers.values()) {
+            progress.probing = false;
+            if (!send(progress)) {
+                word(progress);
+            }
+        }
+        confirm();
+    }
+
+    /** Sends what a follower lacks, as far as its flight allows; false if that was nothing. */
+    private boolean send(Progress progress) {
+        boolean any = false;
+        if (progress.way == Progress.Way.SNAPSHOT) {
+            return now >= progress.pieceAt + timing.heartbeat() && piece(progress);
+        }
+        while (progress.way == Progress.Way.REPLICATE ? progress.next <= log.last() && progress.flight.size() < FLIGHT
+                : !progress.probing) {
+            if (progress.next <= log.base()) {
+                progress.snapshot(snapshot);
+                return piece(progress);
+            }
+            List<Entry> entries = progress.next > log.last() ? List.of()
+                    : log.from(progress.next, MOST_ENTRIES, MOST_BYTES);
+            append(progress, entries);
+            any = true;
+            if (progress.way == Progress.Way.PROBE) {
+                progress.probing = true;
+            } else {
+                progress.next += entries.size();
+                progress.flight.add(progress.next - 1);
+            }
+        }
+        return any;
+    }
+
+    private void append(Progress progress, List<Entry> entries) {
+        post(new Message.Append(id, progress.id, ballot.term(), progress.next - 1, log.term(progress.next - 1), commit,
+                round, roundAt, entries), 0);
+    }
+
+    /** A word without entries: it shows a follower that it lacks some, where a message was lost. */
+    private void word(Progress progress) {
+        if (progress.way == Progress.Way.SNAPSHOT) {
+            post(new Message.Append(id, progress.id, ballot.term(), 0, 0, 0, round, roundAt, List.of()), 0);
+        } else {
+            append(progress, List.of());
+        }
+    }
+
+    private boolean piece(Progress progress) {
+        Snapshot sent = progress.sending;
+        int end = Math.min(sent.data().length, progress.offset + PIECE);
+        progress.pieceAt = now;
+        post(new Message.Piece(id, progress.id, ballot.term(), sent.index(), sent.term(), sent.members(),
+                sent.data().length, checksum(sent.data()), progress.offset,
+                Arrays.copyOfRange(sent.data(), progress.offset, end), round, roundAt), 0);
+        return true;
+    }
+
+    private void answered(Message.Appended answer) {
+        Progress progress = followers.get(answer.from());
+        if (role != Role.LEADER || progress == null) {
+            return;
+        }
+        hear(progress, answer.round(), answer.sentAt(), answer.clock());
+        if (!answer.ok()) {
+            boolean stale = answer.refused() <= progress.match
+                    || progress.way == Progress.Way.PROBE && answer.refused() != progress.next - 1;
+            if (!stale && progress.way != Progress.Way.SNAPSHOT) {
+                long hint = Math.min(answer.match(), log.last());
+                while (hint > log.base() && log.term(hint) > answer.hintTerm()) {
+                    hint--;
+                }
+                progress.probe(hint + 1);
+            }
+        } else {
+            progress.match = Math.max(progress.match, answer.match());
+            while (!progress.flight.isEmpty() && progress.flight.getFirst() <= progress.match) {
+                progress.flight.removeFirst();
+            }
+            boolean met = progress.way == Progress.Way.PROBE && answer.match() >= progress.next - 1;
+            boolean installed = progress.way == Progress.Way.SNAPSHOT && progress.match >= progress.sending.index();
+            if (met || installed) {
+                progress.replicate();
+            }
+            advance();
+            if (handTo == progress.id) {
+                handOver(progress);
+            }
+        }
+        if (role == Role.LEADER) {
+            send(progress);
+        }
+    }
+
+    private void taken(Message.Taken taken) {
+        Progress progress = followers.get(taken.from());
+        if (role != Role.LEADER || progress == null) {
+            return;
+        }
+        hear(progress, taken.round(), taken.sentAt(), taken.clock());
+        if (progress.way == Progress.Way.SNAPSHOT && taken.index() == progress.sending.index()) {
+            boolean moved = taken.offset() != progress.offset;
+            progress.offset = Math.min(taken.offset(), progress.sending.data().length);
+            if (moved && progress.offset < progress.sending.data().length) {
+                piece(progress);
+            }
+        }
+    }
+
+    private void hear(Progress progress, long answeredRound, long sentAt, long clock) {
+        progress.answered(now, answeredRound, sentAt, clock);
+        if (progress.clock.apart() > timing.drift() && !driftTold) {
+            driftTold = true;
+            notes.add("the clock of " + name(progress.id) + " runs apart by more than allowed: reads without leases");
+        }
+        confirm();
+    }
+
+    /** Lets reads go whose round most have answered. */
+    private void confirm() {
+        long of = members().reachedBy(rules.needed(members()), member -> member == id ? round
+                : followers.containsKey(member) ? followers.get(member).round : 0);
+        while (!reads.isEmpty() && rules.confirmed(of, reads.getFirst().round)
+                && rules.knows(log.term(commit), ballot.term())) {
+            confirmed.add(new Read(reads.removeFirst().token, 0, commit));
+        }
+    }
+
+    /** When most of the voters, this one with them, were last heard from. */
+    private long contactAt() {
+        return members().reachedBy(rules.needed(members()), member -> member == id ? now
+                : followers.containsKey(member) ? followers.get(member).heardAt : Long.MIN_VALUE / 2);
+    }
+
+    private boolean leaseHolds() {
+        if (role != Role.LEADER || !timing.leases() || driftTold || !rules.leased(handedOver)
+                || !rules.knows(log.term(commit), ballot.term())) {
+            return false;
+        }
+        long sentAt = members().reachedBy(rules.needed(members()), member -> member == id ? now
+                : followers.containsKey(member) ? followers.get(member).sentAt : Long.MIN_VALUE / 2);
+        return now < rules.lease(sentAt, timing);
+    }
+
+    private void advance() {
+        long reached = members().reachedBy(rules.needed(members()), member -> member == id ? saved
+                : followers.containsKey(member) ? followers.get(member).match : 0);
+        reached = Math.min(reached, log.last());
+        if (reached > commit && rules.countable(log.term(reached), ballot.term())) {
+            commit = reached;
+            if (configs.lastKey() <= commit) {
+                retire();
+            }
+        }
+    }
+
+    /** Members that were removed hear of it once, and a leader that was removed ends. */
+    private void retire() {
+        List<Long> removed = new ArrayList<>(followers.keySet());
+        removed.removeIf(member -> members().get(member) != null);
+        for (long member : removed) {
+            word(followers.remove(member));
+        }
+        if (!members().votes(id)) {
+            speak();
+            notes.add("no longer a voting member, no longer leading");
+            follow(ballot.term(), 0);
+        }
+    }
+
+    private void admitJoining() {
+        for (Member member : List.copyOf(members().all())) {
+            Progress progress = followers.get(member.id());
+            if (member.role() == Member.Role.JOINING && progress != null && progress.match + CLOSE >= commit
+                    && progress.way == Progress.Way.REPLICATE && change(member.as(Member.Role.VOTER), false) == null) {
+                notes.add(member.name() + " has caught up and votes");
+                return;
+            }
+        }
+    }
+
+    // ---- decisions ------------------------------------------------------------------------------
+
+    /** What a message that is made now must wait for, to be a promise that a crash does not break. */
+    private long needs() {
+        return !rules.waits() ? 0 : dirty ? tickets + 1 : saving;
+    }
+
+    /** The same for what rests on the ballot alone, which a save of entries alone need not hold up. */
+    private long dirtyBallot() {
+        return !rules.waits() || ballot.equals(savedBallot) ? 0 : needs();
+    }
+
+    private void post(Message message, long ticket) {
+        held.add(new Held(ticket, message));
+    }
+
+    /** Takes one decision, if there is one to take now. */
+    public boolean decide(Effects effects) {
+        if (savedTicket >= tickets) {
+            savedBallot = savingBallot;
+        }
+        if (!notes.isEmpty()) {
+            effects.log(notes.remove());
+        } else if (role == Role.LEADER && (!reads.isEmpty() && reads.getLast().round > round || tellFrom <= commit
+                && confirmedIdle())) {
+            speak();
+        } else if (role == Role.LEADER && sendAll()) {
+            return true;
+        } else if (release(effects)) {
+            return true;
+        } else if (dirty && saving == 0) {
+            save(effects);
+        } else if (unrestored != null && saving == 0 && !dirty) {
+            effects.restore(unrestored);
+            applied = unrestored.index();
+            unrestored = null;
+        } else if (unrestored == null && unsavedSnapshot == null && applied < Math.min(commit, saved)) {
+            applied++;
+            effects.apply(log.get(applied));
+        } else if (!refusedReads.isEmpty()) {
+            effects.unreadable(refusedReads.removeFirst());
+        } else if (!confirmed.isEmpty() && applied >= confirmed.getFirst().index) {
+            effects.readable(confirmed.removeFirst().token);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    /** Followers hear at once of what was agreed, where nothing is on the way that would tell them later. */
+    private boolean confirmedIdle() {
+        return commit == log.last();
+    }
+
+    private boolean sendAll() {
+        boolean any = false;
+        for (Progress progress : followers.values()) {
+            any |= progress.way != Progress.Way.SNAPSHOT && send(progress);
+        }
+        return any;
+    }
+
+    private boolean release(Effects effects) {
+        int count = held.size();
+        boolean any = false;
+        for (int i = 0; i < count; i++) {
+            Held first = held.removeFirst();
+            if (first.ticket > savedTicket) {
+                held.addLast(first);
+            } else {
+                any = true;
+                if (first.message.to() == id) {
+                    receive(first.message);
+                } else {
+                    effects.send(first.message);
+                }
+            }
+        }
+        return any;
+    }
+
+    private void save(Effects effects) {
+        saving = ++tickets;
+        savingUpTo = log.last();
+        savingBallot = ballot;
+        dirty = false;
+        Snapshot install = unsavedSnapshot;
+        unsavedSnapshot = null;
+        unrestored = install == null ? unrestored : install;
+        long from = unsavedFrom;
+        unsavedFrom = Long.MAX_VALUE;
+        List<Entry> entries = from > log.last() ? List.of() : log.from(from, Integer.MAX_VALUE, Long.MAX_VALUE);
+        effects.save(saving, ballot, from == Long.MAX_VALUE ? 0 : from, entries, install);
+    }
+
+    private String name(long member) {
+        Member known = members().get(member);
+        return known == null ? "member " + Long.toHexString(member) : known.name();
+    }
+
+    /** Everything that a next step could depend on, but for times: equal words mean equal states. */
+    public String fingerprint() {
+        StringBuilder text = new StringBuilder().append(role).append(ballot).append(leader).append('|').append(commit)
+                .append(',').append(applied).append(',').append(saved).append(',').append(saving).append(dirty)
+                .append(given).append(held).append(members());
+        for (long i = log.base(); i <= log.last(); i++) {
+            text.append(' ').append(log.term(i));
+        }
+        Collection<Progress> all = followers.values();
+        all.forEach(p -> text.append(p.id).append(p.way).append(p.match).append(',').append(p.next).append(p.flight)
+                .append(p.probing));
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/raft/Rules.java
@@ -0,0 +1,88 @@
+package rockshift.raft;
+
+import java.util.function.LongPredicate;
+
+/**
+ * The conditions on which safety rests, each by itself, so that each can be read, and broken on purpose to see that the
+ * checks find it. They hold no state.
+ */
+public class Rules {
+    /** A member gives one vote a term. */
+    protected boolean free(Ballot ballot, long candidate) {
+        return ballot.vote() == 0 || ballot.vote() == candidate;
+    }
+
+    /** A candidate's log ends no earlier than the voter's: so it holds all that is committed. */
+    protected boolean upToDate(long lastIndex, long lastTerm, long ownIndex, long ownTerm) {
+        return lastTerm > ownTerm || lastTerm == ownTerm && lastIndex >= ownIndex;
+    }
+
+    /** More than half of the voters. */
+    protected boolean quorum(Membership members, LongPredicate agrees) {
+        return members.counted(agrees) >= needed(members);
+    }
+
+    protected long needed(Membership members) {
+        return members.voters() / 2 + 1;
+    }
+
+    /** A leader counts copies of its own term's entries only: older ones can be overwritten though most hold them. */
+    protected boolean countable(long entryTerm, long term) {
+        return entryTerm == term;
+    }
+
+    /** The logs are the same up to an entry if they have the same term there. */
+    protected boolean same(long prevTerm, long ownTerm) {
+        return prevTerm == ownTerm;
+    }
+
+    /** An entry that stands here already is kept, with all after it: an old message must not cut what came later. */
+    protected boolean stands(long entryTerm, long ownTerm) {
+        return entryTerm == ownTerm;
+    }
+
+    /** Who has heard from a leader, or has just started, may have promised it a lease: no other gets a vote. */
+    protected boolean loyal(long now, long heardAt, Timing timing) {
+        return now < heardAt + timing.election();
+    }
+
+    /** Until when no other leader can be, as most answered what was sent at a time. */
+    protected long lease(long sentAt, Timing timing) {
+        return sentAt + (long) (timing.election() * (1 - timing.drift()));
+    }
+
+    /** Whether a leader that may once have handed over holds leases: who was told to campaign is not bound by them. */
+    protected boolean leased(boolean handedOver) {
+        return !handedOver;
+    }
+
+    /** A read is answered once most have answered a round begun after it came. */
+    protected boolean confirmed(long roundOfQuorum, long roundOfRead) {
+        return roundOfQuorum >= roundOfRead;
+    }
+
+    /** A new leader knows what is committed only by an entry of its own term. */
+    protected boolean knows(long commitTerm, long term) {
+        return commitTerm == term;
+    }
+
+    /** One change of members at a time, and the first of a term only on committed ground. */
+    protected boolean settled(long membersIndex, long commit, long commitTerm, long term) {
+        return membersIndex <= commit && commitTerm == term;
+    }
+
+    /** Whether a promise waits until what it rests on is durable. */
+    protected boolean waits() {
+        return true;
+    }
+
+    /** Whether a candidate asks first whether it would win. */
+    protected boolean asksFirst() {
+        return true;
+    }
+
+    /** A change of a session is new if its serial is beyond the last one applied. */
+    protected boolean isNew(long serial, long last) {
+        return serial > last;
+    }
+}
--- /dev/null
+++ b/src/test/java/rockshift/kit/Faults.java
@@ -0,0 +1,158 @@
+package rockshift.kit;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+import rockshift.raft.Ballot;
+import rockshift.raft.Membership;
+import rockshift.raft.Rules;
+import rockshift.raft.Sessions;
+import rockshift.raft.Timing;
+
+/** Mistakes that an implementation could make, one at a time: the explorer must find each. */
+enum Faults {
+    VOTE_NOT_SAVED(new Plant() {
+        @Override
+        public Ballot saved(Ballot ballot) {
+            return new Ballot(ballot.term(), 0);
+        }
+    }),
+    TERM_NOT_SAVED(new Plant() {
+        @Override
+        public Ballot saved(Ballot ballot) {
+            return Ballot.NONE;
+        }
+    }),
+    SYNC_SKIPPED(new Plant() {
+        @Override
+        public boolean skipsSync() {
+            return true;
+        }
+    }),
+    SESSIONS_LOST_IN_SNAPSHOT(new Plant() {
+        @Override
+        public List<Sessions.Session> recovered(List<Sessions.Session> sessions) {
+            return sessions.stream().map(session -> new Sessions.Session(session.id(), 0, session.answer())).toList();
+        }
+    }),
+    WIPED_UNDER_ITS_NUMBER(new Plant() {
+        @Override
+        public long numberAfterWipe(long before, RandomGenerator chance) {
+            return before;
+        }
+    }),
+    CLOCKS_BEYOND_DRIFT(new Plant() {
+        @Override
+        public double clocksApart() {
+            return 0.6;
+        }
+    }),
+    TWO_VOTES_A_TERM(new Rules() {
+        @Override
+        protected boolean free(Ballot ballot, long candidate) {
+            return true;
+        }
+    }),
+    VOTE_FOR_SHORTER_LOG(new Rules() {
+        @Override
+        protected boolean upToDate(long lastIndex, long lastTerm, long ownIndex, long ownTerm) {
+            return true;
+        }
+    }),
+    HALF_IS_A_QUORUM(new Rules() {
+        @Override
+        protected long needed(Membership members) {
+            return Math.max(1, members.voters() / 2);
+        }
+    }),
+    OLD_TERM_COMMIT(new Rules() {
+        @Override
+        protected boolean countable(long entryTerm, long term) {
+            return true;
+        }
+    }),
+    NO_MATCH_BEFORE_APPEND(new Rules() {
+        @Override
+        protected boolean same(long prevTerm, long ownTerm) {
+            return true;
+        }
+    }),
+    CONFLICT_KEPT(new Rules() {
+        @Override
+        protected boolean stands(long entryTerm, long ownTerm) {
+            return true;
+        }
+    }),
+    OLD_MESSAGE_CUTS(new Rules() {
+        @Override
+        protected boolean stands(long entryTerm, long ownTerm) {
+            return false;
+        }
+    }),
+    PROMISE_BEFORE_SAVE(new Rules() {
+        @Override
+        protected boolean waits() {
+            return false;
+        }
+    }),
+    DISLOYAL_UNDER_LEASE(new Rules() {
+        @Override
+        protected boolean loyal(long now, long heardAt, Timing timing) {
+            return false;
+        }
+    }),
+    LEASE_WITHOUT_QUORUM(new Rules() {
+        @Override
+        protected long lease(long sentAt, Timing timing) {
+            return Long.MAX_VALUE;
+        }
+    }),
+    LEASE_AFTER_HAND_OVER(new Rules() {
+        @Override
+        protected boolean leased(boolean handedOver) {
+            return true;
+        }
+    }),
+    READ_UNCONFIRMED(new Rules() {
+        @Override
+        protected boolean confirmed(long roundOfQuorum, long roundOfRead) {
+            return true;
+        }
+    }),
+    READ_BEFORE_OWN_TERM(new Rules() {
+        @Override
+        protected boolean knows(long commitTerm, long term) {
+            return true;
+        }
+    }),
+    MEMBERS_UNSETTLED(new Rules() {
+        @Override
+        protected boolean settled(long membersIndex, long commit, long commitTerm, long term) {
+            return true;
+        }
+    }),
+    CHANGE_AGAIN(new Rules() {
+        @Override
+        protected boolean isNew(long serial, long last) {
+            return true;
+        }
+    });
+
+    private final Plant plant;
+
+    Faults(Plant plant) {
+        this.plant = plant;
+    }
+
+    Faults(Rules rules) {
+        this(new Plant() {
+            @Override
+            public Rules rules() {
+                return rules;
+            }
+        });
+    }
+
+    Plant plant() {
+        return plant;
+    }
+}
