--- a/src/main/java/rockshift/Known.java
+++ b/src/main/java/rockshift/Known.java
@@ -12,6 +12,11 @@
 /** What one governor knows: inputs write down what they tell, and {@link Logic} decides what follows. */
 abstract class Known {
     final Map<String, String> terms;
+    /** Terms that staff agreed to change since; and by replica, who is to be kept out if it started no later. */
+    final TreeMap<String, String> agreedTerms = new TreeMap<>();
+    final TreeMap<Long, Long> asked = new TreeMap<>();
+    long agreedVersion;
+    Reach reach = Reach.FULL;
     final List<String> zones;
     final int classes;
     final TreeMap<Long, Replica> replicas = new TreeMap<>();
@@ -50,7 +55,7 @@
     }
 
     final double number(String name, double otherwise) {
-        String value = terms.get(name);
+        String value = agreedTerms.getOrDefault(name, terms.get(name));
         return value == null || value.isEmpty() ? otherwise : Double.parseDouble(value);
     }
 
@@ -82,6 +87,30 @@
         }
     }
 
+    /**
+     * What staff agreed, as it stands since a version: replicas to keep out, each up to a last start, and changed terms.
+     * One that is older than what is known means nothing.
+     */
+    public void agreed(long now, long version, Map<Long, Long> out, Map<String, String> changed) {
+        this.now = now;
+        if (version > agreedVersion) {
+            agreedVersion = version;
+            asked.clear();
+            asked.putAll(out);
+            agreedTerms.clear();
+            agreedTerms.putAll(changed);
+            urgent = true;
+        }
+    }
+
+    /** Whether this governor may order all, or being cut off from the others only what rules owe, or nothing. */
+    public void reach(long now, Reach to) {
+        this.now = now;
+        urgent |= to != reach;
+        reach = to;
+        notes.add("orders " + to);
+    }
+
     /** A proxy's stream is up; the proxy holds what it held. */
     public void joined(long now, int number, String zone, double usualRate) {
         left(now, number);
--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -223,7 +223,7 @@
                     .flatMap(request -> request.paths.values().stream())
                     .filter(path -> path.published > 0).count();
             double cost = filled + 2 * classes;
-            if (filled == 0) {
+            if (filled == 0 || reach == Reach.HOLD) {
                 continue;
             } else if (queue() + cost + head + 1 > limit * CHANNEL_PART) {
                 return false;
@@ -250,7 +250,7 @@
             boolean out = !replica.usable() && !waiting.isEmpty() && now >= replica.withdrawnAt + GATHER / 2
                     && (!replica.withdrawn || joinedAt > replica.withdrawnAt);
             boolean in = replica.usable() && replica.withdrawn && waiting.isEmpty();
-            if (out || in) {
+            if (out && reach != Reach.HOLD || in && reach == Reach.FULL) {
                 replica.withdrawn = out;
                 replica.withdrawnAt = now;
                 orders.withdraw(replica.id, out);
@@ -267,6 +267,7 @@
         // Pressing ones do not put the ordinary one off: a list that keeps changing would for ever.
         boolean ordinary = dues.removeIf(due -> due.batch && due.at <= now);
         urgent = held = false;
+        heed();
         deal();
         fade();
         judge();
@@ -283,6 +284,20 @@
         }
     }
 
+    /**
+     * Keeps out whom staff asked to, unless nobody else could answer: no proxy is left without a replica. Where
+     * a class must stay in its zone, each zone keeps one. Could go on using a replica that staff need to stop.
+     */
+    private void heed() {
+        boolean bound = IntStream.range(0, classes).anyMatch(k -> homebound[k]);
+        replicas.values().forEach(replica -> replica.keptOut =
+                replica.started <= asked.getOrDefault(replica.id, Long.MIN_VALUE));
+        List<Replica> left = replicas.values().stream().filter(Replica::usable).toList();
+        for (Replica replica : replicas.values()) {
+            replica.keptOut &= left.stream().anyMatch(other -> !bound || other.zone.equals(replica.zone));
+        }
+    }
+
     /**
      * Deals each place its replicas. Where whole tables fit the channel and the connections, all get all.
      * Else a zone's proxies fall into several places, three lines in four near, dealt so that each
@@ -699,7 +714,14 @@
                 proxy.place.full |= most > 0 && proxy.messages.size() >= most;
             }
         }
+        // Cut off from the others, it takes out what left the list, and lays lines where a table has none.
+        List<Request> bare = requests.stream().filter(request -> request.paths.values().stream()
+                .noneMatch(path -> path.published > 0 && allowed(path))).toList();
         for (Change change : changes()) {
+            boolean owed = change.path != null && (change.to == 0 || bare.contains(change.request));
+            if (reach == Reach.HOLD || reach == Reach.WITHDRAW && !owed) {
+                continue;
+            }
             Place place = change.request.place;
             double cost = place.bound * (place.sent == 0 ? 2 + head : 1);
             double old = change.path == null ? 0 : change.path.published;
--- a/src/main/java/rockshift/Main.java
+++ b/src/main/java/rockshift/Main.java
@@ -4,7 +4,7 @@
 import rockshift.drill.Drill;
 import rockshift.net.Serve;
 
-/** The command line; each subcommand is a host for the decision module. */
+/** Looks at its first word: a governor and the drill start without anything that commands need. */
 public final class Main {
     private Main() {
     }
@@ -16,8 +16,6 @@
         } else if (command.equals("drill")) {
             System.exit(Drill.run(System.in, System.out));
         }
-        System.err.println("usage: rockshift serve   (a governor on sockets, as RELAY_CONFIG's file tells)\n"
-                + "       rockshift drill   (plays on the simulator's wire: stdin, stdout)");
-        System.exit(2);
+        System.exit(rockshift.cli.Commands.run(arguments));
     }
 }
--- a/src/main/java/rockshift/Replica.java
+++ b/src/main/java/rockshift/Replica.java
@@ -11,6 +11,8 @@
     Listed.Health health = Listed.Health.READY;
     long started;
     long changed;
+    /** Whether staff asked that it take nothing new, and the fleet can spare it. */
+    boolean keptOut;
     /** Whether proxies were told to keep off whatever their tables say, and when they last were. */
     boolean withdrawn;
     long withdrawnAt = Long.MIN_VALUE / 2;
@@ -32,8 +34,9 @@
         this.id = id;
     }
 
+    /** Listed as fit for new work, and not kept out by staff. */
     boolean usable() {
-        return health == Listed.Health.READY;
+        return health == Listed.Health.READY && !keptOut;
     }
 
     boolean inTables() {
--- /dev/null
+++ b/src/main/java/rockshift/cli/ClusterCommands.java
@@ -0,0 +1,309 @@
+package rockshift.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.random.RandomGenerator;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import rockshift.cluster.Change;
+import rockshift.cluster.Client;
+import rockshift.cluster.ClusterCharter;
+import rockshift.operator.OperatorFile;
+import rockshift.operator.Section;
+import rockshift.operator.Unusable;
+
+/** What staff ask of the agreement. */
+@Command(name = "cluster", mixinStandardHelpOptions = true, description = "Asks the governors that agree among themselves.",
+        synopsisSubcommandLabel = "COMMAND", subcommands = {ClusterCommands.Status.class, ClusterCommands.Propose.class,
+            ClusterCommands.Drain.class, ClusterCommands.Hold.class, ClusterCommands.Back.class, ClusterCommands.Members.class,
+            ClusterCommands.Transfer.class, ClusterCommands.Snapshot.class, ClusterCommands.ListChanges.class,
+            ExploreCommand.class})
+final class ClusterCommands implements Runnable {
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing");
+    }
+
+    /** Whom to ask, and for how long. */
+    static final class Whom {
+        @Option(names = "--at", split = ",", paramLabel = "ADDRESS", description = "members to ask, by HOST:PORT")
+        private List<String> at = List.of();
+        @Option(names = "--operator", paramLabel = "FILE", description = "an operator's file that names the founders")
+        private String operator;
+        @Option(names = "--timeout", paramLabel = "SECONDS", defaultValue = "10",
+                description = "how long to go on asking (${DEFAULT-VALUE})")
+        private int seconds;
+        @Option(names = "--json", description = "print the answer as JSON")
+        private boolean json;
+        @Spec(Spec.Target.MIXEE)
+        private CommandSpec spec;
+
+        List<String> addresses() throws Unusable {
+            List<String> all = new ArrayList<>(at);
+            if (operator != null) {
+                Section file = OperatorFile.read(operator);
+                ClusterCharter charter = ClusterCharter.read(file);
+                all.add(charter.address());
+                charter.founders().values().stream().filter(address -> !all.contains(address)).forEach(all::add);
+            }
+            if (all.isEmpty()) {
+                throw new CommandLine.ParameterException(spec.commandLine(), "name members by --at or --operator");
+            }
+            return all;
+        }
+
+        Client client() throws Unusable {
+            return new Client(addresses(), RandomGenerator.getDefault(), 2_000);
+        }
+
+        long deadline() {
+            return System.nanoTime() / 1_000_000 + seconds * 1_000L;
+        }
+
+        PrintWriter out() {
+            return spec.commandLine().getOut();
+        }
+
+        /** Prints an answer; answers the exit status. */
+        int tell(JsonNode answer, String done) {
+            String refused = answer.path("refused").asText(answer.path("answer").path("refused").asText(""));
+            if (json) {
+                out().println(answer);
+            } else {
+                out().println(refused.isEmpty() ? done : "refused: " + refused);
+            }
+            return refused.isEmpty() ? Commands.HELD : Commands.BROKEN;
+        }
+
+        int change(Change change, boolean force) throws Unusable, IOException, InterruptedException {
+            try (Client client = client()) {
+                JsonNode answer = client.change(change, force, deadline());
+                return tell(answer, "agreed as version " + answer.path("answer").path("version") + ", entry "
+                        + answer.path("index"));
+            }
+        }
+
+        int ask(ObjectNode call, String done) throws Unusable, IOException, InterruptedException {
+            try (Client client = client()) {
+                return tell(client.askLeader(call, deadline()), done);
+            }
+        }
+    }
+
+    @Command(name = "status", mixinStandardHelpOptions = true, description = "Tells where each member stands.")
+    static final class Status implements Callable<Integer> {
+        @Mixin
+        private Whom whom;
+
+        @Override
+        public Integer call() throws Exception {
+            try (Client client = whom.client()) {
+                Map<String, JsonNode> all = client.statuses();
+                boolean reached = false;
+                if (!whom.json) {
+                    whom.out().printf("%-22s %-12s %-10s %6s %-12s %-9s %9s %9s %8s  %s%n", "address", "name", "role", "term",
+                            "leader", "orders", "agreed", "applied", "version", "disk");
+                }
+                for (Map.Entry<String, JsonNode> each : all.entrySet()) {
+                    JsonNode s = each.getValue();
+                    reached |= s.path("in_touch").asBoolean();
+                    if (whom.json) {
+                        whom.out().println(s);
+                    } else if (s.has("unreached")) {
+                        whom.out().printf("%-22s not reached: %s%n", each.getKey(), s.path("unreached").asText());
+                    } else {
+                        whom.out().printf("%-22s %-12s %-10s %6d %-12s %-9s %9d %9d %8d  %s%n", each.getKey(),
+                                s.path("name").asText(), s.path("role").asText(), s.path("term").asLong(),
+                                s.path("leader").asText(), s.path("orders").asText(), s.path("agreed").asLong(),
+                                s.path("applied").asLong(), s.path("version").asLong(), s.path("disk").asText());
+                    }
+                }
+                return reached ? Commands.HELD : Commands.BROKEN;
+            }
+        }
+    }
+
+    @Command(name = "propose", mixinStandardHelpOptions = true,
+            description = "Has a budget or a term set: price.crossing, price.orders, goal.worst.class, or crossing, moves.")
+    static final class Propose implements Callable<Integer> {
+        /** What is set. */
+        enum What { TERM, BUDGET }
+
+        @Mixin
+        private Whom whom;
+        @Parameters(index = "0", paramLabel = "term|budget")
+        private What what;
+        @Parameters(index = "1", paramLabel = "NAME")
+        private String name;
+        @Parameters(index = "2", paramLabel = "VALUE")
+        private double value;
+        @Option(names = "--reason", defaultValue = "", description = "for the record")
+        private String reason;
+
+        @Override
+        public Integer call() throws Exception {
+            return whom.change(new Change(Change.Kind.valueOf(what.name()), name, 0, value, reason), false);
+        }
+    }
+
+    /** A replica that is meant. */
+    static final class Meant {
+        @Parameters(index = "0", paramLabel = "REPLICA", description = "its name in discovery")
+        private String replica;
+        @Option(names = "--reason", defaultValue = "", description = "for the record")
+        private String reason;
+        @Option(names = "--force", description = "even where the governor asked objects")
+        private boolean force;
+    }
+
+    @Command(name = "drain", mixinStandardHelpOptions = true,
+            description = "Has a replica take nothing new, until it starts anew or is let back.")
+    static final class Drain implements Callable<Integer> {
+        @Mixin
+        private Whom whom;
+        @Mixin
+        private Meant meant;
+
+        @Override
+        public Integer call() throws Exception {
+            return whom.change(new Change(Change.Kind.DRAIN, meant.replica, 0, 0, meant.reason), meant.force);
+        }
+    }
+
+    @Command(name = "hold", mixinStandardHelpOptions = true,
+            description = "Keeps a replica out, also after it starts anew, until it is let back.")
+    static final class Hold implements Callable<Integer> {
+        @Mixin
+        private Whom whom;
+        @Mixin
+        private Meant meant;
+
+        @Override
+        public Integer call() throws Exception {
+            return whom.change(new Change(Change.Kind.HOLD, meant.replica, 0, 0, meant.reason), meant.force);
+        }
+    }
+
+    @Command(name = "back", mixinStandardHelpOptions = true, description = "Lets a drained or held replica back.")
+    static final class Back implements Callable<Integer> {
+        @Mixin
+        private Whom whom;
+        @Mixin
+        private Meant meant;
+
+        @Override
+        public Integer call() throws Exception {
+            return whom.change(new Change(Change.Kind.BACK, meant.replica, 0, 0, meant.reason), meant.force);
+        }
+    }
+
+    @Command(name = "member", mixinStandardHelpOptions = true, description = "Changes who takes part, one at a time.",
+            synopsisSubcommandLabel = "COMMAND", subcommands = {Add.class, Remove.class})
+    static final class Members implements Runnable {
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public void run() {
+            throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing");
+        }
+    }
+
+    @Command(name = "add", mixinStandardHelpOptions = true,
+            description = "Adds a member that runs already: it is brought up to date first and votes then.")
+    static final class Add implements Callable<Integer> {
+        @Mixin
+        private Whom whom;
+        @Parameters(index = "0", paramLabel = "NAME")
+        private String name;
+        @Parameters(index = "1", paramLabel = "ADDRESS")
+        private String address;
+        @Option(names = "--learner", description = "it only follows, and never votes")
+        private boolean learner;
+
+        @Override
+        public Integer call() throws Exception {
+            try (Client client = whom.client()) {
+                JsonNode self = client.ask(address, Client.call("status"));
+                if (!self.path("name").asText().equals(name)) {
+                    whom.out().println("refused: at " + address + " is " + self.path("name").asText() + ", not " + name);
+                    return Commands.BROKEN;
+                }
+                return whom.tell(client.askLeader(Client.call("add").put("id", self.path("number").asLong()).put("name", name)
+                        .put("address", address).put("learner", learner), whom.deadline()), name + " added");
+            }
+        }
+    }
+
+    @Command(name = "remove", mixinStandardHelpOptions = true, description = "Removes a member.")
+    static final class Remove implements Callable<Integer> {
+        @Mixin
+        private Whom whom;
+        @Parameters(index = "0", paramLabel = "NAME")
+        private String name;
+
+        @Override
+        public Integer call() throws Exception {
+            return whom.ask(Client.call("remove").put("name", name), name + " removed");
+        }
+    }
+
+    @Command(name = "transfer", mixinStandardHelpOptions = true, description = "Hands leadership to a member.")
+    static final class Transfer implements Callable<Integer> {
+        @Mixin
+        private Whom whom;
+        @Parameters(index = "0", paramLabel = "NAME")
+        private String name;
+
+        @Override
+        public Integer call() throws Exception {
+            return whom.ask(Client.call("transfer").put("name", name), "handing over to " + name);
+        }
+    }
+
+    @Command(name = "snapshot", mixinStandardHelpOptions = true,
+            description = "Has the first member that answers take a snapshot now.")
+    static final class Snapshot implements Callable<Integer> {
+        @Mixin
+        private Whom whom;
+
+        @Override
+        public Integer call() throws Exception {
+            return whom.ask(Client.call("snapshot"), "a snapshot is taken, where there is anything new");
+        }
+    }
+
+    @Command(name = "log", mixinStandardHelpOptions = true, description = "Lists changes as they were applied, in order.")
+    static final class ListChanges implements Callable<Integer> {
+        @Mixin
+        private Whom whom;
+
+        @Override
+        public Integer call() throws Exception {
+            try (Client client = whom.client()) {
+                JsonNode answer = client.askLeader(Client.call("log"), whom.deadline());
+                if (whom.json) {
+                    whom.out().println(answer);
+                } else {
+                    answer.path("changes").forEach(change -> whom.out().printf("%9d  %s  %s%n", change.path("index").asLong(),
+                            change.path("change"), change.path("outcome")));
+                }
+                return Commands.HELD;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/cli/ClusterCompanion.java
@@ -0,0 +1,75 @@
+package rockshift.cli;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import rockshift.Listed;
+import rockshift.cluster.Change;
+import rockshift.cluster.ClusterCharter;
+import rockshift.cluster.ClusterMember;
+import rockshift.cluster.Governed;
+import rockshift.net.Companion;
+import rockshift.net.Inlet;
+
+/** Joins a member of the agreement to the governor of its process: what was agreed goes in, what is listed comes out. */
+final class ClusterCompanion implements Companion, Governed {
+    private static final long TENTHS_PER_MILLI = 10;
+
+    private final ClusterCharter charter;
+    private Inlet inlet;
+    private ClusterMember member;
+
+    ClusterCompanion(ClusterCharter charter) {
+        this.charter = charter;
+    }
+
+    @Override
+    public void begin(Inlet into) throws IOException, InterruptedException {
+        inlet = into;
+        member = new ClusterMember(charter, this);
+        member.start();
+    }
+
+    @Override
+    public void end() throws InterruptedException {
+        if (member != null) {
+            member.close();
+        }
+    }
+
+    @Override
+    public void agreed(long version, Map<String, Change> out, Map<String, Double> terms) {
+        Map<String, Long> until = new HashMap<>();
+        // A drain means the process that ran when it was asked for; a hold means whatever runs under the name.
+        out.forEach((name, change) -> until.put(name, change.kind() == Change.Kind.DRAIN && change.started() > 0
+                ? change.started() * TENTHS_PER_MILLI + TENTHS_PER_MILLI - 1 : Long.MAX_VALUE));
+        Map<String, String> values = new HashMap<>();
+        terms.forEach((name, value) -> values.put(name, value.toString()));
+        inlet.agreed(version, until, values);
+    }
+
+    @Override
+    public void reach(Governed.Reach reach) {
+        inlet.reach(rockshift.Reach.valueOf(reach.name()));
+    }
+
+    @Override
+    public String objection(Change change, Map<String, Change> out) {
+        if (change.kind() != Change.Kind.DRAIN && change.kind() != Change.Kind.HOLD) {
+            return null;
+        }
+        Map<String, Listed> listed = inlet.listed();
+        if (!listed.containsKey(change.subject())) {
+            return "unknown-replica: " + change.subject() + " is not listed here (--force asks for it all the same)";
+        }
+        boolean left = listed.entrySet().stream().anyMatch(entry -> !entry.getKey().equals(change.subject())
+                && !out.containsKey(entry.getKey()) && entry.getValue().health() == Listed.Health.READY);
+        return left ? null : "last-replica: nobody else is listed as ready and not kept out";
+    }
+
+    @Override
+    public long started(String replica) {
+        Listed entry = inlet.listed().get(replica);
+        return entry == null ? 0 : entry.started() / TENTHS_PER_MILLI;
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/cli/Commands.java
@@ -0,0 +1,95 @@
+package rockshift.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import rockshift.cluster.ClusterCharter;
+import rockshift.drill.Drill;
+import rockshift.operator.OperatorFile;
+import rockshift.operator.Section;
+import rockshift.operator.Unusable;
+
+/** All commands. Exit statuses: 0 all held, 1 something that was checked did not hold, 2 the call or a file can't be used. */
+@Command(name = "rockshift", mixinStandardHelpOptions = true, version = "rockshift 0.1.0",
+        description = "A central planner behind plain proxies.", synopsisSubcommandLabel = "COMMAND",
+        subcommands = {Commands.Serve.class, Commands.Play.class, Commands.Check.class, ClusterCommands.class})
+public final class Commands implements Runnable {
+    static final int HELD = 0;
+    static final int BROKEN = 1;
+    static final int UNUSABLE = 2;
+
+    @Spec
+    private CommandSpec spec;
+
+    /** Runs one command line; answers its exit status. */
+    public static int run(String... arguments) {
+        return new CommandLine(new Commands()).setCaseInsensitiveEnumValuesAllowed(true)
+                .setExecutionExceptionHandler((failure, line, parsed) -> {
+                    line.getErr().println(failure instanceof Unusable || failure instanceof IOException
+                            ? failure.getMessage() : failure.toString());
+                    return failure instanceof Unusable ? UNUSABLE : BROKEN;
+                }).execute(arguments);
+    }
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing");
+    }
+
+    /** A governor on sockets. */
+    @Command(name = "serve", mixinStandardHelpOptions = true,
+            description = "Serves as a governor, as the file that RELAY_CONFIG names tells.")
+    static final class Serve implements Callable<Integer> {
+        @Option(names = "--operator", paramLabel = "FILE", description = "the operator's file: what is switched on beside")
+        private String operator;
+
+        @Override
+        public Integer call() throws Exception {
+            if (operator == null) {
+                return rockshift.net.Serve.run(System.getenv());
+            }
+            Section file = OperatorFile.read(operator);
+            ClusterCharter cluster = ClusterCharter.read(file);
+            file.end();
+            return rockshift.net.Serve.run(System.getenv(), new ClusterCompanion(cluster));
+        }
+    }
+
+    /** The simulator's wire. */
+    @Command(name = "drill", mixinStandardHelpOptions = true,
+            description = "Plays the same decisions on the simulator's wire, on standard input and output.")
+    static final class Play implements Callable<Integer> {
+        @Override
+        public Integer call() throws IOException {
+            return Drill.run(System.in, System.out);
+        }
+    }
+
+    /** Reads an operator's file. */
+    @Command(name = "check", mixinStandardHelpOptions = true,
+            description = "Reads an operator's file, and names what is wrong in it by file, line and field.")
+    static final class Check implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Parameters(paramLabel = "FILE")
+        private String name;
+
+        @Override
+        public Integer call() throws Unusable {
+            Section file = OperatorFile.read(name);
+            ClusterCharter cluster = ClusterCharter.read(file);
+            file.end();
+            PrintWriter out = spec.commandLine().getOut();
+            out.println(name + ": member " + cluster.name() + " of " + (cluster.founders().isEmpty() ? "a cluster that it is"
+                    + " added to" : cluster.founders().keySet()) + ", listens on " + cluster.listen().getHostString() + ":"
+                    + cluster.listen().getPort() + ", folder " + cluster.folder());
+            return HELD;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/cli/ExploreCommand.java
@@ -0,0 +1,54 @@
+package rockshift.cli;
+
+import java.io.PrintWriter;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+import rockshift.kit.Explorer;
+import rockshift.kit.Plant;
+import rockshift.kit.World;
+
+/** Plays the agreement in simulated worlds. */
+@Command(name = "explore", mixinStandardHelpOptions = true,
+        description = "Plays the agreement's own code in simulated worlds full of faults, and checks what it promises.")
+final class ExploreCommand implements Callable<Integer> {
+    /** Seeds between two words of progress. */
+    private static final long STEP = 1_000;
+
+    @Spec
+    private CommandSpec spec;
+    @Option(names = "--seeds", defaultValue = "1000", description = "how many (${DEFAULT-VALUE})")
+    private long seeds;
+    @Option(names = "--first", defaultValue = "1", description = "the first of them (${DEFAULT-VALUE})")
+    private long first;
+    @Option(names = "--members", defaultValue = "3", description = "3 or 5 (${DEFAULT-VALUE})")
+    private int members;
+    @Option(names = "--seed", description = "plays this one alone, and tells what happens in it")
+    private Long seed;
+
+    @Override
+    public Integer call() {
+        PrintWriter out = spec.commandLine().getOut();
+        if (seed != null) {
+            World.Result result = new World(seed, members, new Plant(), true).run();
+            result.account().forEach(out::println);
+            out.println("seed " + seed + ": " + (result.violation() == null ? "no violation" : result.violation()));
+            return result.violation() == null ? Commands.HELD : Commands.BROKEN;
+        }
+        long steps = 0;
+        long broken = 0;
+        for (long done = 0; done < seeds; done += STEP) {
+            Explorer.Findings part = Explorer.explore(first + done, Math.min(STEP, seeds - done), members, Plant::new);
+            steps += part.steps();
+            broken += part.broken().size();
+            part.broken().forEach(result -> out.println("seed " + result.seed() + ": " + result.violation()));
+            if (System.console() != null) {
+                System.err.print("\r" + Math.min(seeds, done + STEP) + " of " + seeds);
+            }
+        }
+        out.println("explore: " + seeds + " seeds, " + steps + " steps, " + broken + " violations");
+        return broken == 0 ? Commands.HELD : Commands.BROKEN;
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/cluster/ClusterCharter.java
@@ -0,0 +1,69 @@
+package rockshift.cluster;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import rockshift.operator.Section;
+import rockshift.operator.Unusable;
+import rockshift.raft.Timing;
+
+/**
+ * What a member is told in the block {@code cluster} of the operator's file: who it is, where it listens and keeps its folder,
+ * who founded the cluster, and how long it waits. It is what one reading found and never changes.
+ *
+ * @param founders by name: where those are that begin the cluster; empty for one that is added later
+ * @param routes by name: where this member reaches another, if not at the address that all were told
+ */
+public record ClusterCharter(String name, InetSocketAddress listen, String address, Path folder,
+        Map<String, String> founders, Map<String, String> routes, Timing timing, Engine.Compaction compaction,
+        Minority minority) {
+    /** What a governor still orders when it is cut off from most: all, what rules owe, or nothing. */
+    public enum Minority { SERVE, WITHDRAW, HOLD }
+
+    private static final int LEAST_ELECTION = 50;
+    private static final int MOST_FOUNDERS = 5;
+
+    /** Reads the block, and refuses what it does not know. */
+    public static ClusterCharter read(Section file) throws Unusable {
+        Section cluster = file.block("cluster");
+        if (cluster == null) {
+            throw file.wrong("cluster", "is missing");
+        }
+        String name = cluster.text("name", null);
+        InetSocketAddress listen = cluster.address("listen", null);
+        String address = cluster.text("address", cluster.text("listen", null));
+        Path folder = Path.of(cluster.text("folder", null));
+        long election = cluster.span("election", "1s", LEAST_ELECTION, 60_000);
+        long heartbeat = cluster.span("heartbeat", election / 50 + "ms", 5, 30_000);
+        if (heartbeat * 3 > election) {
+            throw cluster.wrong("heartbeat", "must be a third of election at most");
+        }
+        double drift = cluster.number("drift", 0.05, 0, 0.5);
+        boolean leases = cluster.flag("leases", true);
+        int batch = cluster.whole("batch", 512, 1, 4_096);
+        Engine.Compaction compaction = new Engine.Compaction(cluster.whole("snapshot_after", 10_000, 100, 1_000_000),
+                cluster.bytes("snapshot_bytes", "4MB", 64 << 10, 64 << 20));
+        Minority minority = Minority.valueOf(cluster.word("minority", "withdraw", "serve", "withdraw", "hold")
+                .toUpperCase(java.util.Locale.ROOT));
+        Map<String, String> founders = addresses(cluster, "founder");
+        if (!founders.isEmpty() && !founders.containsKey(name)) {
+            throw cluster.wrong("founder", "does not name " + name + " itself");
+        } else if (founders.size() > MOST_FOUNDERS || founders.size() == 2 || founders.size() == 4) {
+            throw cluster.wrong("founder", "must name one, three or five, not " + founders.size());
+        }
+        Map<String, String> routes = addresses(cluster, "route");
+        cluster.end();
+        return new ClusterCharter(name, listen, address, folder, founders, routes,
+                new Timing(election, heartbeat, drift, leases, batch), compaction, minority);
+    }
+
+    private static Map<String, String> addresses(Section cluster, String kind) throws Unusable {
+        Map<String, String> found = new LinkedHashMap<>();
+        for (Map.Entry<String, Section> each : cluster.blocks(kind).entrySet()) {
+            each.getValue().address("address", null);
+            found.put(each.getKey(), each.getValue().text("address", null));
+        }
+        return found;
+    }
+}
--- /dev/null
+++ b/src/main/java/rockshift/cluster/ClusterMember.java
@@ -0,0 +1,622 @@
+package rockshift.cluster;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import rockshift.raft.Ballot;
+import rockshift.raft.Entry;
+import rockshift.raft.Member;
+import rockshift.raft.Membership;
+import rockshift.raft.Message;
+import rockshift.raft.Raft;
+import rockshift.raft.Rules;
+import rockshift.raft.Sessions;
+import rockshift.raft.Snapshot;
+
+/**
+ * One member of the agreement, running: the engine on a thread of its own, the disk on another, its connections, and how the
+ * cluster is founded. It owns the order in which they meet: time first, then what came, then what follows.
+ */
+public final class ClusterMember implements AutoCloseable, Links.Ear, Engine.Surroundings {
+    private static final Logger LOG = LoggerFactory.getLogger(ClusterMember.class);
+    private static final JsonFactory JSON = new JsonFactory();
+    /** Inputs that may wait; more are dropped like lost messages, and commands told to come again. */
+    private static final int MOST_WAITING = 20_000;
+    /** Inputs taken in before the engine decides: a batch. */
+    private static final int MOST_AT_ONCE = 1_000;
+    /** Ms between two looks at the clock, at most; between two tries of a save that failed; and of two greetings. */
+    private static final long LONGEST_PAUSE = 10;
+    private static final long RETRY = 500;
+    /** Changes that can be listed afterwards. */
+    private static final int MOST_RECENT = 4_096;
+    private static final long NANOS_PER_TENTH = 100_000;
+
+    private record Asked(Links.Link link, long number, String kind) { }
+
+    private final ClusterCharter charter;
+    private final Governed governed;
+    private final Agreed agreed = new Agreed();
+    private final FileDisk disk;
+    private final DurableLog log;
+    private final Links links;
+    private final Engine engine;
+    private final long id;
+    private final LinkedBlockingQueue<Runnable> inputs = new LinkedBlockingQueue<>(MOST_WAITING);
+    private final LinkedBlockingQueue<Runnable> diskWork = new LinkedBlockingQueue<>();
+    private final Thread thread = new Thread(this::work, "agreement");
+    private final Thread diskThread = new Thread(this::store, "agreement-disk");
+    private final Map<Long, Asked> asked = new HashMap<>();
+    private final ArrayDeque<String> recent = new ArrayDeque<>();
+    private long recentFrom = 1;
+    private final TreeMap<String, Codec.Hello> met = new TreeMap<>();
+    private volatile long cluster;
+    /** The greeting, for other threads, and the members that it names. */
+    private volatile byte[] shown;
+    private Membership shownMembers;
+    private volatile boolean closed;
+    private long requests;
+    private Governed.Reach reach;
+    private String diskTrouble = "";
+    private int port;
+
+
+    public ClusterMember(ClusterCharter charter, Governed governed) throws IOException {
+        this.charter = charter;
+        this.governed = governed;
+        disk = new FileDisk(charter.folder());
+        try {
+            SecureRandom source = new SecureRandom();
+            log = new DurableLog(disk, line -> LOG.warn("{}", line));
+            DurableLog.Recovered found = log.open(source.nextLong() >>> 1 | 1);
+            id = found.id();
+            cluster = found.cluster();
+            links = new Links(this, new SplittableRandom(source.nextLong()));
+            engine = new Engine(found, charter.timing(), new Rules(), new SplittableRandom(source.nextLong()), now(), agreed,
+                    charter.compaction(), this);
+        } catch (IOException | RuntimeException failure) {
+            disk.close();
+            throw failure;
+        }
+        show();
+    }
+
+    /** Listens and takes part. */
+    public void start() throws IOException, InterruptedException {
+        port = links.listen(charter.listen());
+        thread.setDaemon(true);
+        diskThread.setDaemon(true);
+        tellAgreed();
+        diskThread.start();
+        thread.start();
+        LOG.info("member {} ({}) listens on {}, port {}, {} entries, agreed version {}", charter.name(),
+                Long.toHexString(id), charter.listen().getHostString(), port, engine.raft().log().last(),
+                agreed.version());
+    }
+
+    public int port() {
+        return port;
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        closed = true;
+        thread.interrupt();
+        diskThread.interrupt();
+        links.close();
+        thread.join(RETRY);
+        diskThread.join(RETRY);
+        try {
+            disk.close();
+        } catch (IOException ignored) {
+            LOG.info("folder {} was already let go", charter.folder());
+        }
+    }
+
+    private static long now() {
+        return System.nanoTime() / NANOS_PER_TENTH;
+    }
+
+    // ---- the member's thread --------------------------------------------------------------------
+
+    private void work() {
+        List<Runnable> batch = new ArrayList<>();
+        while (!closed) {
+            try {
+                Runnable first = inputs.poll(LONGEST_PAUSE, TimeUnit.MILLISECONDS);
+                engine.tick(now());
+                if (first != null) {
+                    batch.add(first);
+                    inputs.drainTo(batch, MOST_AT_ONCE);
+                    for (Runnable input : batch) {
+                        input.run();
+                        engine.tick(now());
+                    }
+                    batch.clear();
+                }
+                engine.run();
+                tend();
+            } catch (InterruptedException stopped) {
+                return;
+            } catch (RuntimeException failure) {
+                // What it holds in memory may be wrong now: a restart reads the disk anew.
+                LOG.error("failure in the agreement, it stops here; restart this governor", failure);
+                governed.reach(cutOff());
+                return;
+            }
+        }
+    }
+
+    private Governed.Reach cutOff() {
+        return switch (charter.minority()) {
+            case SERVE -> Governed.Reach.FULL;
+            case WITHDRAW -> Governed.Reach.WITHDRAW;
+            case HOLD -> Governed.Reach.HOLD;
+        };
+    }
+
+    private void tend() {
+        if (engine.raft().members() != shownMembers) {
+            show();
+            links.greet();
+        }
+        Governed.Reach now = engine.raft().inTouch() ? Governed.Reach.FULL : cutOff();
+        if (now != reach) {
+            boolean before = reach != null;
+            reach = now;
+            governed.reach(now);
+            if (engine.raft().inTouch()) {
+                LOG.info("in touch with most members, leader {}", name(engine.raft().leader()));
+            } else if (before) {
+                LOG.warn("cut off from most members: nothing new is agreed here, orders by minority = {}",
+                        charter.minority().name().toLowerCase(Locale.ROOT));
+            }
+        }
+        Set<String> others = new HashSet<>();
+        for (Member member : engine.raft().members().all()) {
+            if (member.id() != id) {
+                others.add(route(member.name(), member.address()));
+            }
+        }
+        if (cluster == 0) {
+            charter.founders().forEach((name, address) -> {
+                if (!name.equals(charter.name())) {
+                    others.add(route(name, address));
+                }
+            });
+        }
+        links.tend(others, System.nanoTime() / 1_000_000);
+    }
+
+    private String route(String name, String address) {
+        return charter.routes().getOrDefault(name, address);
+    }
+
+    private String name(long member) {
+        Member known = engine.raft().members().get(member);
+        return known == null ? "none" : known.name();
+    }
+
+    private boolean offer(Runnable input) {
+        return inputs.offer(input);
+    }
+
+    // ---- founding -------------------------------------------------------------------------------
+
+    /** Has everyone know who this is now: a connection tells it as it begins, and again when it changes. */
+    private void show() {
+        try {
+            shownMembers = engine.raft().members();
+            shown = Codec.hello(new Codec.Hello(Frames.VERSION, cluster, id, charter.name(),
+                    engine.raft().members()));
+        } catch (IOException impossible) {
+            throw new UncheckedIOException(impossible);
+        }
+    }
+
+    @Override
+    public byte[] hello() {
+        return shown;
+    }
+
+    @Override
+    public void met(Codec.Hello hello) {
+        offer(() -> {
+            met.put(hello.name(), hello);
+            if (cluster == 0) {
+                found(hello);
+            } else if (hello.cluster() != 0 && hello.cluster() != cluster) {
+                LOG.warn("{} belongs to another cluster, {}, not {}", hello.name(), Long.toHexString(hello.cluster()),
+                        Long.toHexString(cluster));
+            }
+        });
+    }
+
+    /** Founders begin once each has met all others blank; who is named by a cluster that exists becomes part of it. */
+    private void found(Codec.Hello hello) {
+        try {
+            if (hello.cluster() != 0 && hello.members().get(id) != null) {
+                log.found(hello.cluster(), List.of());
+                cluster = hello.cluster();
+                LOG.info("part of cluster {} by {}", Long.toHexString(cluster), hello.name());
+            } else if (hello.cluster() != 0) {
+                LOG.warn("{} has a cluster that this member is no part of: add it with 'cluster member add {} {}'",
+                        hello.name(), charter.name(), charter.address());
+            } else if (charter.founders().containsKey(charter.name())) {
+                foundTogether();
+            }
+        } catch (IOException failure) {
+            LOG.error("can't found the cluster: {}", failure.getMessage());
+        }
+        if (cluster != 0) {
+            show();
+            links.greet();
+        }
+    }
+
+    private void foundTogether() throws IOException {
+        List<Member> founders = new ArrayList<>();
+        long sum = 1;
+        TreeMap<String, String> sorted = new TreeMap<>(charter.founders());
+        for (Map.Entry<String, String> each : sorted.entrySet()) {
+            Codec.Hello other = met.get(each.getKey());
+            boolean self = each.getKey().equals(charter.name());
+            if (!self && (other == null || other.cluster() != 0)) {
+                return;
+            }
+            long number = self ? id : other.id();
+            sum = sum * 31 + number;
+            founders.add(new Member(number, each.getKey(), each.getValue(), Member.Role.VOTER));
+        }
+        Snapshot first = log.found(sum >>> 1 | 1, founders);
+        cluster = sum >>> 1 | 1;
+        engine.found(first.members());
+        LOG.info("cluster {} founded by {}", Long.toHexString(cluster), sorted.keySet());
+    }
+
+    // ---- messages -------------------------------------------------------------------------------
+
+    @Override
+    public void message(byte[] payload, long from) {
+        if (cluster == 0 || from != cluster) {
+            return;
+        }
+        try {
+            Message message = Codec.message(payload);
+            offer(() -> engine.receive(message));
+        } catch (IOException spoilt) {
+            throw new UncheckedIOException(spoilt);
+        }
+    }
+
+    @Override
+    public void send(Message message) {
+        Member to = engine.raft().members().get(message.to());
+        String address = to != null ? route(to.name(), to.address()) : met.values().stream()
+                .filter(other -> other.id() == message.to()).map(other -> charter.routes().getOrDefault(other.name(),
+                        charter.founders().get(other.name()))).findFirst().orElse(null);
+        if (address != null) {
+            try {
+                links.send(address, Codec.message(message));
+            } catch (IOException impossible) {
+                throw new UncheckedIOException(impossible);
+            }
+        }
+    }
+
+    // ---- the disk's thread ----------------------------------------------------------------------
+
+    private void store() {
+        while (!closed) {
+            try {
+                diskWork.take().run();
+            } catch (InterruptedException stopped) {
+                return;
+            }
+        }
+    }
+
+    /** Tries until the disk takes it: what was durable stays, and the same save can be tried again. */
+    private void persist(DiskWork work, Runnable done) throws InterruptedException {
+        while (!closed) {
+            try {
+                work.run();
+                if (!diskTrouble.isEmpty()) {
+                    LOG.info("folder {} takes entries again", charter.folder());
+                    diskTrouble = "";
+                }
+                inputs.put(done);
+                return;
+            } catch (IOException failure) {
+                String trouble = String.valueOf(failure.getMessage());
+                if (!trouble.equals(diskTrouble)) {
+                    LOG.error("folder {} takes nothing: {}; no votes and no entries until it does", charter.folder(),
+                            trouble);
+                    diskTrouble = trouble;
+                }
+                inputs.put(() -> engine.disk(false));
+                TimeUnit.MILLISECONDS.sleep(RETRY);
+            }
+        }
+    }
+
+    private interface DiskWork {
+        void run() throws IOException;
+    }
+
+    private void queue(DiskWork work, Runnable done) {
+        diskWork.add(() -> {
+            try {
+                persist(work, done);
+            } catch (InterruptedException stopped) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
+    @Override
+    public void save(long ticket, Ballot ballot, long from, List<Entry> entries, Snapshot snapshot) {
+        queue(() -> log.save(ballot, from, entries, snapshot), () -> {
+            engine.disk(true);
+            engine.saved(ticket);
+        });
+    }
+
+    @Override
+    public void keep(Snapshot snapshot) {
+        queue(() -> log.keep(snapshot), () -> engine.kept(snapshot));
+    }
+
+    // ---- what is agreed -------------------------------------------------------------------------
+
+    @Override
+    public void applied(Entry entry, Sessions.Outcome outcome) {
+        if (entry.kind() == Entry.Kind.MEMBERS) {
+            LOG.info("members agreed: {}", entry.members().all().stream().map(member -> member.name() + " "
+                    + member.role().name().toLowerCase(Locale.ROOT)).toList());
+        } else if (entry.kind() == Entry.Kind.CHANGE && outcome.applied()) {
+            String change = new String(entry.body(), StandardCharsets.UTF_8);
+            String answer = new String(outcome.answer(), StandardCharsets.UTF_8);
+            LOG.info("agreed {}: {} {}", entry.index(), change, answer);
+            recent.add("{\"index\":" + entry.index() + ",\"change\":" + change + ",\"outcome\":" + answer + "}");
+            if (recent.size() > MOST_RECENT) {
+                recent.removeFirst();
+                recentFrom++;
+            }
+            tellAgreed();
+        }
+    }
+
+    private void tellAgreed() {
+        governed.agreed(agreed.version(), new TreeMap<>(agreed.out()), new TreeMap<>(agreed.terms()));
+    }
+
+    @Override
+    public void restored(long index) {
+        LOG.info("agreed up to entry {} by a snapshot, version {}", index, agreed.version());
+        recentFrom += recent.size();
+        recent.clear();
+        tellAgreed();
+    }
+
+    @Override
+    public void log(String line) {
+        LOG.info("{}", line);
+    }
+
+    // ---- commands -------------------------------------------------------------------------------
+
+    @Override
+    public void call(Links.Link from, byte[] payload) {
+        try {
+            Map<String, String> call = read(payload);
+            if (!offer(() -> take(from, call))) {
+                from.send(Frames.REPLY, refusal(number(call, "call"), "busy", null));
+            }
+        } catch (IOException malformed) {
+            from.send(Frames.REPLY, refusal(0, "malformed", malformed.getMessage()));
+        }
+    }
+
+    private static Map<String, String> read(byte[] payload) throws IOException {
+        Map<String, String> call = new HashMap<>();
+        try (JsonParser json = JSON.createParser(payload)) {
+            if (json.nextToken() != JsonToken.START_OBJECT) {
+                throw new IOException("no JSON object");
+            }
+            while (json.nextToken() != JsonToken.END_OBJECT) {
+                String field = json.currentName();
+                if (!json.nextToken().isScalarValue()) {
+                    throw new IOException("field " + field + ": must be plain");
+                }
+                call.put(field, json.getText());
+            }
+        }
+        return call;
+    }
+
+    private static long number(Map<String, String> call, String field) throws IOException {
+        try {
+            return Long.parseLong(call.getOrDefault(field, "0"));
+        } catch (NumberFormatException wrong) {
+            throw new IOException("field " + field + ": must be a whole number");
+        }
+    }
+
+    private void take(Links.Link from, Map<String, String> call) {
+        long number = 0;
+        try {
+            number = number(call, "call");
+            String op = call.getOrDefault("op", "");
+            long request = ++requests;
+            asked.put(request, new Asked(from, number, op));
+            switch (op) {
+                case "status" -> reply(request, this::status);
+                case "log" -> {
+                    long first = number(call, "from");
+                    reply(request, json -> list(json, first));
+                }
+                case "open" -> engine.open(request, number(call, "session"));
+                case "read" -> engine.read(request);
+                case "snapshot" -> {
+                    boolean begun = engine.compact();
+                    reply(request, json -> json.writeBooleanField("begun", begun));
+                }
+                case "transfer" -> engine.transfer(request, named(call.get("name")));
+                case "remove" -> engine.member(request, new Member(named(call.get("name")), call.get("name"), "",
+                        Member.Role.LEARNER), true);
+                case "add" -> engine.member(request, new Member(number(call, "id"), call.get("name"), call.get("address"),
+                        Boolean.parseBoolean(call.get("learner")) ? Member.Role.LEARNER : Member.Role.JOINING), false);
+                case "change" -> change(request, call);
+                default -> throw new IOException("field op: '" + op + "' is not known");
+            }
+        } catch (IOException malformed) {
+            asked.remove(requests);
+            from.send(Frames.REPLY, refusal(number, "malformed", malformed.getMessage()));
+        }
+    }
+
+    private long named(String name) {
+        Member member = name == null ? null : engine.raft().members().named(name);
+        return member == null ? 0 : member.id();
+    }
+
+    private void change(long request, Map<String, String> call) throws IOException {
+        Change change = Change.read(call.getOrDefault("change", "").getBytes(StandardCharsets.UTF_8));
+        if (change.kind() == Change.Kind.DRAIN && change.started() == 0) {
+            change = new Change(change.kind(), change.subject(), governed.started(change.subject()), 0, change.reason());
+        }
+        // A change sent again must meet its own first time, not this check: only the state can tell which it is.
+        String objection = engine.raft().leads() && !Boolean.parseBoolean(call.get("again"))
+                ? agreed.check(change) : null;
+        objection = objection == null && engine.raft().leads() && !Boolean.parseBoolean(call.get("force"))
+                && !Boolean.parseBoolean(call.get("again")) ? governed.objection(change, agreed.out()) : objection;
+        if (objection != null) {
+            answer(request, new Engine.Answer(objection, new byte[0], 0, null));
+        } else {
+            engine.change(request, number(call, "session"), number(call, "serial"), change.json());
+        }
+    }
+
+    private interface Fields {
+        void write(JsonGenerator json) throws IOException;
+    }
+
+    private void reply(long request, Fields fields) {
+        Asked to = asked.remove(request);
+        if (to != null) {
+            to.link.send(Frames.REPLY, object(json -> {
+                json.writeNumberField("call", to.number);
+                fields.write(json);
+            }));
+        }
+    }
+
+    private static byte[] object(Fields fields) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator json = JSON.createGenerator(bytes)) {
+            json.writeStartObject();
+            fields.write(json);
+            json.writeEndObject();
+        } catch (IOException impossible) {
+            throw new UncheckedIOException(impossible);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static byte[] refusal(long number, String code, String what) {
+        return object(json -> {
+            json.writeNumberField("call", number);
+            json.writeStringField("refused", what == null ? code : code + ": " + what);
+        });
+    }
+
+    @Override
+    public void answer(long request, Engine.Answer answer) {
+        reply(request, json -> {
+            if (answer.refused() != null) {
+                json.writeStringField("refused", answer.refused());
+            }
+            if (answer.leader() != null) {
+                json.writeStringField("leader", answer.leader());
+            }
+            if (answer.index() > 0) {
+                json.writeNumberField("index", answer.index());
+            }
+            if (answer.body().length > 0) {
+                json.writeFieldName("answer");
+                json.writeRawValue(new String(answer.body(), StandardCharsets.UTF_8));
+            }
+        });
+    }
+
+    private void status(JsonGenerator json) throws IOException {
+        Raft.Standing standing = engine.raft().standing();
+        json.writeStringField("name", charter.name());
+        json.writeStringField("id", Long.toHexString(id));
+        json.writeNumberField("number", id);
+        json.writeStringField("cluster", Long.toHexString(cluster));
+        json.writeStringField("role", standing.role().name().toLowerCase(Locale.ROOT));
+        json.writeNumberField("term", standing.term());
+        json.writeStringField("leader", name(standing.leader()));
+        Member leader = engine.raft().members().get(standing.leader());
+        json.writeStringField("leader_address", leader == null ? "" : leader.address());
+        json.writeBooleanField("in_touch", engine.raft().inTouch());
+        json.writeStringField("orders", String.valueOf(reach).toLowerCase(Locale.ROOT));
+        json.writeBooleanField("leased", standing.leased());
+        json.writeNumberField("agreed", standing.commit());
+        json.writeNumberField("applied", standing.applied());
+        json.writeNumberField("saved", standing.saved());
+        json.writeNumberField("first", standing.first());
+        json.writeNumberField("last", standing.last());
+        json.writeNumberField("snapshot", engine.raft().snapshot().index());
+        json.writeNumberField("version", agreed.version());
+        json.writeStringField("disk", diskTrouble);
+        json.writeArrayFieldStart("members");
+        for (Member member : standing.members().all()) {
+            json.writeStartObject();
+            json.writeStringField("name", member.name());
+            json.writeStringField("address", member.address());
+            json.writeStringField("role", member.role().name().toLowerCase(Locale.ROOT));
+            if (standing.matches().containsKey(member.id())) {
+                json.writeNumberField("match", standing.matches().get(member.id()));
+            }
+            json.writeEndObject();
+        }
+        json.writeEndArray();
+    }
+
+    private void list(JsonGenerator json, long first) throws IOException {
+        json.writeNumberField("from", Math.max(first, recentFrom));
+        json.writeNumberField("next", recentFrom + recent.size());
+        json.writeArrayFieldStart("changes");
+        long skip = Math.max(0, first - recentFrom);
+        int size = 0;
+        for (String change : recent) {
+            size += skip > 0 ? 0 : change.length();
+            if (skip-- <= 0 && size < Frames.LONGEST / 2) {
+                json.writeRawValue(change);
+            }
+        }
+        json.writeEndArray();
+    }
+}
--- a/src/main/java/rockshift/cluster/Codec.java
+++ b/src/main/java/rockshift/cluster/Codec.java
@@ -246,6 +246,31 @@
         into.restore(sessions, machine);
     }
 
+    /** Who speaks, as the first frame of a connection tells. */
+    record Hello(long version, long cluster, long id, String name, Membership members) { }
+
+    static byte[] hello(Hello hello) throws IOException {
+        Writer writer = new Writer();
+        writer.out.writeStartArray();
+        writer.add(hello.version, hello.cluster, hello.id);
+        writer.out.writeString(hello.name);
+        writer.members(hello.members);
+        writer.out.writeEndArray();
+        return writer.end();
+    }
+
+    static Hello hello(byte[] bytes) throws IOException {
+        Reader reader = new Reader(bytes, 0, bytes.length);
+        reader.expect(JsonToken.START_ARRAY);
+        long version = reader.number();
+        if (version != Frames.VERSION) {
+            throw new Frames.Broken("version", "it speaks version " + version + ", this is " + Frames.VERSION);
+        }
+        Hello hello = new Hello(version, reader.number(), reader.number(), reader.text(), reader.members());
+        reader.end();
+        return hello;
+    }
+
     /** A message, its kind first. */
     public static byte[] message(Message message) throws IOException {
         Writer w = new Writer();
--- a/src/main/java/rockshift/cluster/Engine.java
+++ b/src/main/java/rockshift/cluster/Engine.java
@@ -9,6 +9,7 @@
 import rockshift.raft.Effects;
 import rockshift.raft.Entry;
 import rockshift.raft.Member;
+import rockshift.raft.Membership;
 import rockshift.raft.Message;
 import rockshift.raft.Raft;
 import rockshift.raft.Refusal;
@@ -92,6 +93,11 @@
 
     // ---- what comes in --------------------------------------------------------------------------
 
+    /** The cluster was founded with these members, before anything else happened here. */
+    public void found(Membership members) {
+        raft.found(members);
+    }
+
     public void tick(long now) {
         raft.tick(now);
     }
--- /dev/null
+++ b/src/main/java/rockshift/cluster/Frames.java
@@ -0,0 +1,97 @@
+package rockshift.cluster;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+
+/**
+ * What goes over a member's connections: a length, a checksum, a kind and a payload. Pieces are put together here; what is too
+ * long, garbled or of an unknown version ends the connection before anything of it is used.
+ */
+final class Frames {
+    /** Bytes of the longest frame: a message's entries or a snapshot's piece, and room. */
+    static final int LONGEST = 1 << 20;
+    static final int VERSION = 1;
+    static final byte HELLO = 1;
+    static final byte MESSAGE = 2;
+    static final byte CALL = 3;
+    static final byte REPLY = 4;
+    private static final int HEAD = 8;
+
+    /** A frame that can't be used; the code is the reason that the log gives. */
+    static final class Broken extends IOException {
+        private static final long serialVersionUID = 1L;
+        final String code;
+
+        Broken(String code, String what) {
+            super(what);
+            this.code = code;
+        }
+    }
+
+    record Frame(byte kind, byte[] payload) { }
+
+    private ByteBuffer held = ByteBuffer.allocate(4 << 10).limit(0);
+
+    static byte[] frame(byte kind, byte[] payload) {
+        byte[] body = new byte[payload.length + 1];
+        body[0] = kind;
+        System.arraycopy(payload, 0, body, 1, payload.length);
+        return ByteBuffer.allocate(HEAD + body.length).putInt(body.length)
+                .putInt(Codec.checksum(body, 0, body.length)).put(body).array();
+    }
+
+    /** Adds bytes that came. */
+    void feed(ByteBuffer piece) {
+        if (held.capacity() - held.limit() < piece.remaining()) {
+            int needed = held.remaining() + piece.remaining();
+            ByteBuffer larger = ByteBuffer.allocate(Math.max(needed, Math.min(LONGEST + HEAD, 2 * needed)));
+            larger.put(held).flip();
+            held = larger;
+        }
+        int position = held.position();
+        int limit = held.limit();
+        held.limit(limit + piece.remaining()).position(limit);
+        held.put(piece).position(position);
+    }
+
+    /** The next whole frame, or null. */
+    Frame next() throws Broken {
+        if (held.remaining() < HEAD) {
+            return null;
+        }
+        int length = held.getInt(held.position());
+        if (length < 1 || length > LONGEST) {
+            throw new Broken("too-long", "a frame of " + length + " bytes");
+        } else if (held.remaining() < HEAD + length) {
+            return null;
+        }
+        held.getInt();
+        int sum = held.getInt();
+        byte[] body = new byte[length];
+        held.get(body);
+        if (!held.hasRemaining()) {
+            held.clear().limit(0);
+        }
+        return check(body, sum);
+    }
+
+    private static Frame check(byte[] body, int sum) throws Broken {
+        if (sum != Codec.checksum(body, 0, body.length)) {
+            throw new Broken("garbled", "a frame whose checksum is wrong");
+        }
+        return new Frame(body[0], java.util.Arrays.copyOfRange(body, 1, body.length));
+    }
+
+    /** Waits for one frame. */
+    static Frame read(DataInputStream in) throws IOException {
+        int length = in.readInt();
+        int sum = in.readInt();
+        if (length < 1 || length > LONGEST) {
+            throw new Broken("too-long", "a frame of " + length + " bytes");
+        }
+        byte[] body = new byte[length];
+        in.readFully(body);
+        return check(body, sum);
+    }
+}
--- a/src/main/java/rockshift/kit/World.java
+++ b/src/main/java/rockshift/kit/World.java
@@ -55,6 +55,10 @@
     private final Timing timing;
     private final long pace;
     private final boolean rigid;
+    private final long usualDelay;
+    /** A member that hears everything late, and one whose disk is always slow; -1 for none. */
+    private final int far;
+    private final int sluggish;
     private double loss;
     private double twice;
     private long longest;
@@ -69,7 +73,10 @@
         this.telling = telling;
         chance = new SplittableRandom(seed);
         encoding = chance.nextInt(8) == 0;
-        timing = new Timing(2_000, 400, 0.1, chance.nextInt(3) > 0);
+        timing = new Timing(2_000, 400, 0.1, chance.nextInt(3) > 0, chance.nextInt(3) == 0 ? 1 + chance.nextInt(3) : 512);
+        far = chance.nextBoolean() ? chance.nextInt(members) : -1;
+        sluggish = chance.nextInt(4) == 0 ? chance.nextInt(members) : -1;
+        usualDelay = new long[] {20, 20, 200, 1_200}[chance.nextInt(4)];
         pace = new long[] {700, 2_000, 5_000}[chance.nextInt(3)];
         rigid = chance.nextInt(3) == 0;
         cut = new boolean[members][members];
@@ -82,7 +89,7 @@
     private void calmNetwork() {
         loss = 0;
         twice = 0;
-        longest = 20;
+        longest = troubled ? usualDelay : 20;
         for (boolean[] row : cut) {
             java.util.Arrays.fill(row, false);
         }
@@ -174,7 +181,7 @@
         }
         after(chance.nextLong(50, pace), this::trouble);
         Host host = hosts.get(chance.nextInt(hosts.size()));
-        switch (chance.nextInt(14)) {
+        switch (chance.nextInt(15)) {
             case 0, 1 -> host.crash();
             case 2 -> {
                 // A leader more often than any.
@@ -215,6 +222,7 @@
                 after(chance.nextLong(1_000, 5_000), () -> host.disk.full = false);
             }
             case 11 -> host.wipe();
+            case 12 -> removeBehindCut();
             default -> {
                 for (int i = chance.nextInt(3); i >= 0; i--) {
                     members(hosts.get(chance.nextInt(hosts.size())));
@@ -227,6 +235,28 @@
         after(chance.nextLong(500, 8_000), this::calmNetwork);
     }
 
+    /** A leader is left with one other, and staff ask it to do without the rest. */
+    private void removeBehindCut() {
+        Host leader = hosts.stream().filter(host -> host.engine != null && host.engine.raft().leads()).findAny()
+                .orElse(hosts.get(0));
+        Host other = hosts.get((leader.place + 1) % hosts.size());
+        for (int i = 0; i < hosts.size(); i++) {
+            boolean inside = i == leader.place || i == other.place;
+            cut[i][leader.place] = !inside;
+            cut[leader.place][i] = !inside;
+            cut[i][other.place] = !inside;
+            cut[other.place][i] = !inside;
+        }
+        tell("n%d and n%d are cut from the rest", leader.place, other.place);
+        healLater();
+        for (Host host : hosts) {
+            if (host != leader && host != other && leader.engine != null && leader.engine.raft().members().voters() > 3) {
+                leader.engine.member(0, host.member(Member.Role.VOTER), true);
+                leader.run();
+            }
+        }
+    }
+
     private void split() {
         healLater();
         int side = chance.nextInt(1, 1 << hosts.size());
@@ -377,7 +407,7 @@
                 history.leads(raft);
             }
             if (raft.commit() > agreedUpTo) {
-                history.agreed(raft.log(), agreedUpTo, raft.commit());
+                history.agreed(raft, agreedUpTo, raft.commit());
                 agreedUpTo = raft.commit();
             }
         }
@@ -445,7 +475,8 @@
             int copies = chance.nextDouble() < twice ? 2 : 1;
             for (int i = 0; i < copies; i++) {
                 Message each = sent;
-                after(2 + chance.nextLong(longest), () -> {
+                long late = troubled && to.place == far ? 600 + chance.nextLong(600) : 0;
+                after(2 + late + chance.nextLong(longest), () -> {
                     if (to.id() == each.to()) {
                         if (!(each instanceof Message.Append append && append.entries().isEmpty())) {
                             tell("n%d -> n%d %s", place, to.place, each);
@@ -467,7 +498,7 @@
         private void next(int of) {
             diskWork = diskQueue.poll();
             if (diskWork != null) {
-                after(slow ? chance.nextLong(3_000) : 2 + chance.nextLong(20), () -> {
+                after(slow || troubled && place == sluggish ? chance.nextLong(3_000) : 2 + chance.nextLong(20), () -> {
                     if (of == life) {
                         Runnable work = diskWork;
                         work.run();
@@ -691,7 +722,7 @@
                 }
                 doneAt = now;
                 request = 0;
-                after(10 + chance.nextLong(watches ? 50 : 800), this::next);
+                after(10 + chance.nextLong(watches ? 30 : 400), this::next);
             }
         }
     }
--- /dev/null
+++ b/src/main/java/rockshift/net/Inlet.java
@@ -0,0 +1,50 @@
+package rockshift.net;
+
+import java.util.HashMap;
+import java.util.Map;
+import rockshift.Listed;
+import rockshift.Reach;
+
+/**
+ * How what governors agree among themselves comes into one of them: by the same queue as all else that the module learns. It
+ * owns the view of the list that is needed before a change is asked for; it decides nothing of what follows from one.
+ */
+public final class Inlet {
+    private final Turns turns;
+    private final Map<String, Listed> listed = new HashMap<>();
+
+    Inlet(Turns turns) {
+        this.turns = turns;
+        turns.listing = this::hear;
+    }
+
+    private synchronized void hear(Roster.Listing listing) {
+        if (listing.whole()) {
+            listed.clear();
+        }
+        for (Listed entry : listing.entries()) {
+            String name = listing.names().get(entry.replica());
+            if (entry.health() == Listed.Health.GONE) {
+                listed.remove(name);
+            } else {
+                listed.put(name, entry);
+            }
+        }
+    }
+
+    /** A copy of the list by the replicas' names, without those that are gone. */
+    public synchronized Map<String, Listed> listed() {
+        return new HashMap<>(listed);
+    }
+
+    /** What stands agreed since a version: by replica's name, up to which start (tenths of a ms) it is kept out. */
+    public void agreed(long version, Map<String, Long> out, Map<String, String> terms) {
+        Map<Long, Long> numbered = new HashMap<>();
+        out.forEach((name, start) -> numbered.put(Roster.number(name), start));
+        turns.agreed(version, numbered, terms);
+    }
+
+    public void reach(Reach reach) {
+        turns.reach(reach);
+    }
+}
--- a/src/main/java/rockshift/net/Serve.java
+++ b/src/main/java/rockshift/net/Serve.java
@@ -21,11 +21,19 @@
     private final Thread turning;
     private final Roster roster;
     private final Streams streams;
+    private final Companion companion;
+    private final Inlet inlet;
     private int port;
 
     Serve(Charter charter) {
+        this(charter, null);
+    }
+
+    Serve(Charter charter, Companion companion) {
         this.charter = charter;
+        this.companion = companion;
         Turns turns = new Turns(charter.seed(), charter.terms());
+        inlet = companion == null ? null : new Inlet(turns);
         Roster.take(charter.known(), turns);
         turning = new Thread(turns, "turns");
         roster = new Roster(charter.discovery(), turns);
@@ -33,11 +41,14 @@
     }
 
     void start() throws IOException, InterruptedException {
+        if (companion != null) {
+            companion.begin(inlet);
+        }
         try {
             port = streams.listen(charter.listen());
         } catch (IOException failure) {
             streams.close();
-            throw failure;
+            throw new IOException("cannot listen on " + charter.listen() + ": " + failure.getMessage(), failure);
         }
         turning.start();
         roster.start();
@@ -66,6 +77,9 @@
 
     @Override
     public void close() throws InterruptedException {
+        if (companion != null) {
+            companion.end();
+        }
         roster.close();
         streams.close();
         turning.interrupt();
@@ -85,6 +99,11 @@
 
     /** Serves until the process is told to end; answers an exit status where it can't begin or go on. */
     public static int run(Map<String, String> environment) throws InterruptedException {
+        return run(environment, null);
+    }
+
+    /** The same with a companion, or null for none. */
+    public static int run(Map<String, String> environment, Companion companion) throws InterruptedException {
         String file = environment.get("RELAY_CONFIG");
         Charter charter;
         try {
@@ -95,7 +114,7 @@
         }
         Serve serve;
         try {
-            serve = new Serve(charter);
+            serve = new Serve(charter, companion);
             // Before it listens: the signal's usual effect would end the process.
             Signal.handle(new Signal("HUP"), signal -> serve.reload(file));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(serve), "stop"));
@@ -104,7 +123,7 @@
             System.err.println(file + ": field settings: " + wrong.getMessage());
             return UNUSABLE;
         } catch (IOException failure) {
-            System.err.println("cannot listen on " + charter.listen() + ": " + failure.getMessage());
+            System.err.println(failure.getMessage());
             return FAILED;
         }
         serve.turning.join();
--- a/src/main/java/rockshift/net/Turns.java
+++ b/src/main/java/rockshift/net/Turns.java
@@ -6,11 +6,13 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import rockshift.Listed;
 import rockshift.Logic;
+import rockshift.Reach;
 
 /**
  * The one thread that owns the module, and the one queue through which all else reaches it. A turn takes in
@@ -35,6 +37,8 @@
     private final Tables tables;
     /** Tenths of a ms between two turns: what is told at start. */
     private final long spacing;
+    /** Who else hears of the list, on the thread that brings it. */
+    volatile Consumer<Roster.Listing> listing = list -> { };
     private long wakeAt = Long.MAX_VALUE;
 
     Turns(long seed, Map<String, String> terms) {
@@ -94,8 +98,18 @@
         return offer(queued, now -> logic.usage(now, proxy, type, count, span));
     }
 
+    /** What staff agreed is never refused: it comes as it changes, whole. */
+    void agreed(long version, Map<Long, Long> out, Map<String, String> terms) {
+        queue.add(now -> logic.agreed(now, version, out, terms));
+    }
+
+    void reach(Reach reach) {
+        queue.add(now -> logic.reach(now, reach));
+    }
+
     /** A list is never refused: it comes one at a time. */
     void listed(List<Listed> entries, boolean changes, Map<Long, String> names) {
+        listing.accept(new Roster.Listing(0, !changes, entries, names));
         queue.add(now -> {
             tables.named(names);
             logic.listed(now, entries, changes);
--- /dev/null
+++ b/src/main/java/rockshift/operator/OperatorFile.java
@@ -0,0 +1,39 @@
+package rockshift.operator;
+
+import com.bertramlabs.plugins.hcl4j.HCLParser;
+import com.bertramlabs.plugins.hcl4j.HCLParserException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+
+/** Reads an operator's file into its outermost section. */
+public final class OperatorFile {
+    /** Bytes of the longest file that is read: far more than a fleet's. */
+    private static final int LONGEST = 1 << 20;
+
+    private OperatorFile() {
+    }
+
+    public static Section read(String file) throws Unusable {
+        try {
+            Path path = Path.of(file);
+            if (Files.size(path) > LONGEST) {
+                throw new Unusable(file, 0, "", "over " + LONGEST + " bytes");
+            }
+            return parse(file, Files.readString(path));
+        } catch (IOException failure) {
+            throw new Unusable(file, 0, "", "can't be read: " + failure.getMessage());
+        }
+    }
+
+    static Section parse(String file, String text) throws Unusable {
+        Lines lines = new Lines(file, text);
+        try {
+            Map<String, Object> values = new HCLParser().parse(text);
+            return new Section(file, lines, "", values);
+        } catch (HCLParserException | IOException | RuntimeException wrong) {
+            throw new Unusable(file, 0, "", String.valueOf(wrong.getMessage()).lines().findFirst().orElse("no HCL"));
+        }
+    }
+}
--- a/src/main/java/rockshift/raft/Raft.java
+++ b/src/main/java/rockshift/raft/Raft.java
@@ -25,8 +25,7 @@
     // ---- constants: unit, and the reason for the size -------------------------------------------
     /** Messages in flight to one follower: a few round trips of a slow link, and a bound on what a dead one is owed. */
     private static final int FLIGHT = 32;
-    /** Entries and bytes of one message: a part of the largest frame, and little to send again. */
-    private static final int MOST_ENTRIES = 512;
+    /** Bytes of entries in one message: a part of the largest frame, and little to send again. */
     private static final int MOST_BYTES = 128 << 10;
     /** Bytes of one piece of a snapshot. */
     private static final int PIECE = 64 << 10;
@@ -192,6 +191,14 @@
 
     // ---- inputs ---------------------------------------------------------------------------------
 
+    /** A blank member learns with whom it founds the cluster; its host has saved that. */
+    public void found(Membership members) {
+        if (log.last() == 0 && ballot.equals(Ballot.NONE)) {
+            snapshot = new Snapshot(0, 0, members, new byte[0]);
+            configs.put(0L, members);
+        }
+    }
+
     /** Time passes. */
     public void tick(long time) {
         now = Math.max(now, time);
@@ -456,6 +463,10 @@
         }
         notes.add("leads in term " + ballot.term() + " with " + log.last() + " entries, " + commit + " known agreed");
         add(Entry.start(log.last() + 1, ballot.term()));
+        if (configs.lastKey() == 0) {
+            // Who founded the cluster is told to those that come in with an empty log, like everything else.
+            add(Entry.members(log.last() + 1, ballot.term(), members()));
+        }
         speak();
     }
 
@@ -645,7 +656,7 @@
                 return piece(progress);
             }
             List<Entry> entries = progress.next > log.last() ? List.of()
-                    : log.from(progress.next, MOST_ENTRIES, MOST_BYTES);
+                    : log.from(progress.next, timing.batch(), MOST_BYTES);
             append(progress, entries);
             any = true;
             if (progress.way == Progress.Way.PROBE) {
