--- /dev/null
+++ b/src/main/java/rockshift/kit/Farm.java
@@ -0,0 +1,234 @@
+package rockshift.kit;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Governors that agree, as processes on loopback, with a relay on each way between two of them and one before each for
+ * commands, and a stand-in for discovery. It owns the processes that it starts and ends them all, also when it is ended itself.
+ */
+public final class Farm implements AutoCloseable {
+    /** The platform's own options for a governor. */
+    private static final List<String> JAVA = List.of("-Xmx64m", "-Xss512k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+            "-XX:MaxMetaspaceSize=40m", "-XX:ReservedCodeCacheSize=24m", "-XX:MaxDirectMemorySize=8m",
+            "-XX:-UsePerfData", "-XX:+ExitOnOutOfMemoryError");
+    private static final int REPLICAS = 6;
+
+    /** Hears each line that a governor logs. */
+    public interface Ear {
+        void line(int member, int life, String line);
+    }
+
+    private final Path folder;
+    private final int members;
+    private final String election;
+    private final Ear ear;
+    private final Relay[][] ways;
+    private final Relay[] fronts;
+    private final Process[] processes;
+    private final int[] lives;
+    private final int[] ports;
+    private final int[] streams;
+    private final ServerSocket discovery = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final Thread atEnd = new Thread(this::killAll);
+
+    public Farm(Path folder, int members, String election, long seed, Ear ear) throws IOException {
+        this.folder = folder;
+        this.members = members;
+        this.election = election;
+        this.ear = ear;
+        ways = new Relay[members][members];
+        fronts = new Relay[members];
+        processes = new Process[members];
+        lives = new int[members];
+        ports = new int[members];
+        streams = new int[members];
+        for (int i = 0; i < members; i++) {
+            fronts[i] = new Relay(seed + i);
+            for (int j = 0; j < members; j++) {
+                ways[i][j] = new Relay(seed * 31 + i * members + j);
+            }
+        }
+        Thread list = new Thread(this::discover, "discovery");
+        list.setDaemon(true);
+        list.start();
+        Runtime.getRuntime().addShutdownHook(atEnd);
+    }
+
+    /** A list that never changes, and calls that are held. */
+    private void discover() {
+        while (!discovery.isClosed()) {
+            try {
+                Socket call = discovery.accept();
+                Thread one = new Thread(() -> answer(call), "discovery-call");
+                one.setDaemon(true);
+                one.start();
+            } catch (IOException closed) {
+                return;
+            }
+        }
+    }
+
+    private void answer(Socket call) {
+        try (call) {
+            StringBuilder head = new StringBuilder();
+            InputStream in = call.getInputStream();
+            for (int b = in.read(); b >= 0; b = in.read()) {
+                head.append((char) b);
+                if (head.indexOf("\r\n\r\n") >= 0) {
+                    if (!head.toString().contains("index=")) {
+                        String body = list();
+                        call.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                                + body).getBytes(StandardCharsets.US_ASCII));
+                    }
+                    head.setLength(0);
+                }
+            }
+        } catch (IOException ended) {
+            // The governor went.
+        }
+    }
+
+    private static String list() {
+        List<String> entries = new ArrayList<>();
+        for (int i = 0; i < REPLICAS; i++) {
+            entries.add("{\"instanceId\":\"s-" + i + "\",\"hostPort\":\"127.0.0.1:1\",\"zone\":\"hall-a\",\"machineType\":\"m\","
+                    + "\"cell\":0,\"lifecycle\":\"Ready\",\"weight\":1.0,\"startedAtMs\":0}");
+        }
+        return "{\"generation\":1,\"reset\":true,\"instances\":[" + String.join(",", entries) + "]}";
+    }
+
+    /** The address at which a member takes commands, whatever is cut. */
+    public String front(int member) {
+        return fronts[member].address();
+    }
+
+    /** The port on which a governor takes proxies; 0 until it is up. */
+    public int streams(int member) {
+        return streams[member];
+    }
+
+    public Relay way(int from, int to) {
+        return ways[from][to];
+    }
+
+    public boolean runs(int member) {
+        return processes[member] != null && processes[member].isAlive();
+    }
+
+    public long pid(int member) {
+        return processes[member].pid();
+    }
+
+    private Path write(int member) throws IOException {
+        StringBuilder text = new StringBuilder("cluster {\n  name = \"n" + member + "\"\n  listen = \"127.0.0.1:0\"\n"
+                + "  address = \"" + front(member) + "\"\n  folder = \"" + folder.resolve("d" + member) + "\"\n"
+                + "  election = \"" + election + "\"\n  snapshot_after = 200\n");
+        for (int i = 0; i < members; i++) {
+            text.append("  founder \"n" + i + "\" { address = \"" + front(i) + "\" }\n");
+            text.append("  route \"n" + i + "\" { address = \"" + ways[member][i].address() + "\" }\n");
+        }
+        Files.writeString(folder.resolve("governor" + member + ".json"), "{\"name\":\"n" + member + "\",\"listen\":"
+                + "\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + discovery.getLocalPort() + "\",\"seed\":\"" + (member + 1)
+                + "\",\"limits\":{\"sockets\":512},\"known\":" + list() + ",\"settings\":{\"dcs\":[\"hall-a\"],"
+                + "\"granularity_us\":5000,\"report\":{\"names\":[\"util\"]},\"classes\":[{\"name\":\"subset\",\"worth\":1.0}],"
+                + "\"domain\":{\"proxy_count\":8,\"channel_rate\":5000,\"backlog\":5000.0,\"fixed_cost\":3.0}}}");
+        return Files.writeString(folder.resolve("operator" + member + ".hcl"), text.append("}\n"));
+    }
+
+    /** Starts a member's process, and waits until it takes part and serves. */
+    public void start(int member) throws IOException, InterruptedException {
+        Path operator = write(member);
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+        command.addAll(JAVA);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "rockshift.Main", "serve", "--operator",
+                operator.toString()));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+        builder.environment().putAll(Map.of("RELAY_CONFIG", folder.resolve("governor" + member + ".json").toString()));
+        int life = ++lives[member];
+        ports[member] = 0;
+        streams[member] = 0;
+        Process process = builder.start();
+        processes[member] = process;
+        Thread reader = new Thread(() -> listen(process, member, life), "log of n" + member);
+        reader.setDaemon(true);
+        reader.start();
+        await(() -> !process.isAlive() || ports[member] > 0 && streams[member] > 0, 30_000);
+        if (!process.isAlive()) {
+            throw new IOException("n" + member + " ended as it started, status " + process.exitValue());
+        }
+        fronts[member].to(ports[member]);
+        for (int i = 0; i < members; i++) {
+            ways[i][member].to(ports[member]);
+        }
+    }
+
+    private void listen(Process process, int member, int life) {
+        try (BufferedReader lines = process.inputReader()) {
+            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                int port = line.indexOf(", port ");
+                if (port > 0) {
+                    String rest = line.substring(port + 7);
+                    int number = Integer.parseInt(rest.split("\\D", 2)[0]);
+                    (line.contains("member n") ? ports : streams)[member] = number;
+                }
+                ear.line(member, life, line);
+            }
+        } catch (IOException ended) {
+            // The process was killed.
+        }
+    }
+
+    public void kill(int member) throws InterruptedException {
+        processes[member].destroyForcibly().waitFor();
+    }
+
+    /** Stops a process where it stands (STOP), or has it go on (CONT). */
+    public void signal(int member, String signal) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + signal, Long.toString(pid(member))).start().waitFor();
+    }
+
+    static void await(BooleanSupplier holds, long ms) {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
+        while (!holds.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new IllegalStateException("what was waited for did not come in " + ms + " ms");
+            }
+            LockSupport.parkNanos(1_000_000);
+        }
+    }
+
+    private void killAll() {
+        for (Process process : processes) {
+            if (process != null) {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        killAll();
+        Runtime.getRuntime().removeShutdownHook(atEnd);
+        discovery.close();
+        for (int i = 0; i < members; i++) {
+            fronts[i].close();
+            for (Relay way : ways[i]) {
+                way.close();
+            }
+        }
+    }
+}
--- a/src/main/java/rockshift/kit/World.java
+++ b/src/main/java/rockshift/kit/World.java
@@ -617,7 +617,7 @@
      * reads wherever it comes, and so from who no longer leads.
      */
     private final class Client {
-        private static final long PATIENCE = 3_000;
+        private final long patience;
 
         final int number;
         private final boolean watches;
@@ -634,6 +634,7 @@
         Client(int number, boolean watches) {
             this.number = number;
             this.watches = watches;
+            patience = watches ? 100 : 600;
             asked = hosts.get(number % hosts.size());
             reopen();
             after(chance.nextLong(500), this::next);
@@ -659,7 +660,7 @@
             long mine = ++numbers * 10 + number;
             request = mine;
             Host to = asked;
-            after(PATIENCE, () -> {
+            after(patience, () -> {
                 if (request == mine && watches) {
                     next();
                 } else if (request == mine) {
--- a/src/test/java/rockshift/kit/Faults.java
+++ b/src/test/java/rockshift/kit/Faults.java
@@ -155,4 +155,9 @@
     Plant plant() {
         return plant;
     }
+
+    /** The size of cluster in which it shows more often. */
+    int members() {
+        return this == MEMBERS_UNSETTLED ? 5 : 3;
+    }
 }
--- /dev/null
+++ b/src/test/java/rockshift/operator/OperatorFileTest.java
@@ -0,0 +1,73 @@
+package rockshift.operator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import rockshift.cluster.ClusterCharter;
+
+/** Stories of operators' files, right and wrong. */
+class OperatorFileTest {
+    private static final String GOOD = """
+            # one of three
+            cluster {
+              name = "n1"
+              listen = "127.0.0.1:7101"
+              folder = "/tmp/n1"   // where it persists
+              election = "200ms"
+              founder "n1" { address = "127.0.0.1:7101" }
+              founder "n2" { address = "127.0.0.1:7102" }
+              founder "n3" {
+                address = "127.0.0.1:7103"
+              }
+            }
+            """;
+
+    private static ClusterCharter read(String text) throws Unusable {
+        Section file = OperatorFile.parse("o.hcl", text);
+        ClusterCharter charter = ClusterCharter.read(file);
+        file.end();
+        return charter;
+    }
+
+    @Test
+    void aFileIsReadWithItsUnits() throws Unusable {
+        ClusterCharter charter = read(GOOD);
+        assertThat(charter.timing().election()).isEqualTo(2_000);
+        assertThat(charter.timing().heartbeat()).isEqualTo(400);
+        assertThat(charter.founders()).containsOnlyKeys("n1", "n2", "n3");
+        assertThat(charter.minority()).isEqualTo(ClusterCharter.Minority.WITHDRAW);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "election = \"200ms\"|election = \"200\"|line 6, field cluster.election: must be a span with its unit",
+        "election = \"200ms\"|election = \"2ms\"|line 6, field cluster.election: must be from 50ms",
+        "election = \"200ms\"|elections = \"200ms\"|line 6, field cluster.elections: is not known here",
+        "election = \"200ms\"|election =|line 6, field cluster.election: no value",
+        "election = \"200ms\"|minority = \"maybe\"|line 6, field cluster.minority: must be one of serve, withdraw, hold",
+        "election = \"200ms\"|heartbeat = \"900ms\"|line 6, field cluster.heartbeat: must be a third",
+        "election = \"200ms\"|snapshot_after = 7|line 6, field cluster.snapshot_after: must be from 100",
+        "election = \"200ms\"|drift = \"much\"|line 6, field cluster.drift: must be a number",
+        "election = \"200ms\"|leases = \"yes|line 6: a string that does not end",
+        "listen = \"127.0.0.1:7101\"|listen = \"here\"|line 4, field cluster.listen: must be an address",
+        "name = \"n1\"|name = \"n7\"|field cluster.founder: does not name n7 itself",
+        "founder \"n2\" { address = \"127.0.0.1:7102\" }|founder \"n2\" { place = \"x\" }|line 8, field cluster.founder.n2.address",
+        "founder \"n2\" { address = \"127.0.0.1:7102\" }|#|must name one, three or five, not 2",
+        "# one of three|cluster {}|line 2, field cluster: given twice",
+        "# one of three|}|line 1: a closing brace too many"})
+    void whatIsWrongIsNamedByFileLineAndField(String from, String to, String what) {
+        assertThatThrownBy(() -> read(GOOD.replace(from, to))).isInstanceOf(Unusable.class)
+                .hasMessageStartingWith("o.hcl").hasMessageContaining(what);
+    }
+
+    @Test
+    void aBlockThatIsNotClosedAndAFileThatIsNotThereAreNamed() {
+        assertThatThrownBy(() -> read("cluster {\n  name = \"n1\"\n")).hasMessageContaining(
+                "line 1, field cluster: a block that is not closed");
+        assertThatThrownBy(() -> OperatorFile.read("/nowhere/o.hcl")).hasMessageContaining("/nowhere/o.hcl: can't be read");
+        assertThatThrownBy(() -> read("other {\n}\n")).hasMessageContaining("field cluster: is missing");
+    }
+}
--- /dev/null
+++ b/src/test/java/rockshift/raft/SessionsTest.java
@@ -0,0 +1,72 @@
+package rockshift.raft;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Stories of changes that come more than once. */
+class SessionsTest {
+    private final List<Byte> done = new ArrayList<>();
+    private final Sessions.Machine machine = new Sessions.Machine() {
+        @Override
+        public byte[] apply(long index, byte[] change) {
+            done.add(change[0]);
+            return new byte[] {(byte) done.size()};
+        }
+
+        @Override
+        public byte[] image() {
+            return new byte[0];
+        }
+
+        @Override
+        public void restore(byte[] image) {
+            done.clear();
+        }
+    };
+    private final Sessions sessions = new Sessions(new Rules(), machine);
+    private long index;
+
+    private Sessions.Outcome open(long session) {
+        return sessions.apply(new Entry(++index, 1, Entry.Kind.OPEN, session, 0, new byte[0], null));
+    }
+
+    private Sessions.Outcome change(long session, long serial, int change) {
+        return sessions.apply(new Entry(++index, 1, Entry.Kind.CHANGE, session, serial, new byte[] {(byte) change}, null));
+    }
+
+    @Test
+    void aChangeSentAgainTakesEffectOnceAndIsAnsweredAlike() {
+        open(9);
+        assertThat(change(9, 1, 5).answer()).containsExactly(1);
+        Sessions.Outcome again = change(9, 1, 5);
+        assertThat(again.applied()).isFalse();
+        assertThat(again.answer()).containsExactly(1);
+        assertThat(change(9, 2, 6).answer()).containsExactly(2);
+        assertThat(change(9, 1, 5).refused()).isEqualTo("serial-past");
+        assertThat(done).containsExactly((byte) 5, (byte) 6);
+    }
+
+    @Test
+    void aSessionThatIsNotKnownIsRefusedAndNothingHappens() {
+        assertThat(change(9, 1, 5).refused()).isEqualTo("session-unknown");
+        assertThat(done).isEmpty();
+    }
+
+    @Test
+    void sessionsSurviveASnapshotAndTheLongestUnusedGoesFirst() {
+        for (long session = 1; session <= Sessions.MOST; session++) {
+            open(session);
+        }
+        change(1, 1, 5);
+        open(10_000);
+        assertThat(sessions.sessions()).hasSize(Sessions.MOST);
+        Sessions other = new Sessions(new Rules(), machine);
+        other.restore(sessions.sessions(), new byte[0]);
+        assertThat(other.sessions()).isEqualTo(sessions.sessions());
+        assertThat(change(2, 1, 5).refused()).as("unused longest").isEqualTo("session-unknown");
+        assertThat(other.apply(new Entry(99, 1, Entry.Kind.CHANGE, 1, 1, new byte[] {5}, null)).applied()).isFalse();
+    }
+}
