--- a/src/main/java/rockshift/cli/ClusterCommands.java
+++ b/src/main/java/rockshift/cli/ClusterCommands.java
@@ -28,7 +28,7 @@
         synopsisSubcommandLabel = "COMMAND", subcommands = {ClusterCommands.Status.class, ClusterCommands.Propose.class,
             ClusterCommands.Drain.class, ClusterCommands.Hold.class, ClusterCommands.Back.class, ClusterCommands.Members.class,
             ClusterCommands.Transfer.class, ClusterCommands.Snapshot.class, ClusterCommands.ListChanges.class,
-            ExploreCommand.class})
+            ExploreCommand.class, MeasureCommands.TrialCommand.class, MeasureCommands.BenchCommand.class})
 final class ClusterCommands implements Runnable {
     @Spec
     private CommandSpec spec;
--- /dev/null
+++ b/src/main/java/rockshift/cli/MeasureCommands.java
@@ -0,0 +1,99 @@
+package rockshift.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+import rockshift.kit.Charts;
+import rockshift.kit.ClusterBench;
+import rockshift.kit.Trial;
+
+/** Commands that start members of their own to try or measure them, on loopback. */
+final class MeasureCommands {
+    private MeasureCommands() {
+    }
+
+    @Command(name = "trial", mixinStandardHelpOptions = true,
+            description = "Starts governors, kills, stops and cuts them at random while clients propose, and compares them.")
+    static final class TrialCommand implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Option(names = "--members", defaultValue = "5", description = "3 or 5 (${DEFAULT-VALUE})")
+        private int members;
+        @Option(names = "--minutes", defaultValue = "1", description = "how long (${DEFAULT-VALUE})")
+        private double minutes;
+        @Option(names = "--seed", defaultValue = "1", description = "of the faults and proposals (${DEFAULT-VALUE})")
+        private long seed;
+        @Option(names = "--out", paramLabel = "FOLDER", description = "where to keep the table and the chart")
+        private Path kept;
+
+        @Override
+        public Integer call() throws Exception {
+            Path folder = Files.createTempDirectory("rockshift-trial");
+            Trial.Outcome outcome = new Trial(folder, members, (long) (minutes * 60), seed, System.err::println).run();
+            PrintWriter out = spec.commandLine().getOut();
+            outcome.troubles().stream().limit(50).forEach(out::println);
+            if (kept != null) {
+                Files.createDirectories(kept);
+                Map<String, Double> figures = new LinkedHashMap<>();
+                figures.put("members", (double) members);
+                figures.put("minutes", minutes);
+                figures.put("seed", (double) seed);
+                figures.put("faults", (double) outcome.faults());
+                figures.put("applied", (double) outcome.applied());
+                figures.put("lost", (double) outcome.lost());
+                figures.put("twice", (double) outcome.twice());
+                figures.put("out of order", (double) outcome.disordered());
+                figures.put("minority orders", (double) outcome.minority());
+                for (double p : new double[] {50, 90, 99, 99.9, 100}) {
+                    figures.put("agreed in ms p" + p, outcome.agreeing().getValueAtPercentile(p) / 1_000.0);
+                }
+                table(kept.resolve("trial.csv"), figures);
+                Charts.tail(kept.resolve("trial.png"), "Time until a change was agreed, under faults", outcome.agreeing());
+            }
+            out.println(outcome.line());
+            return outcome.held() ? Commands.HELD : Commands.BROKEN;
+        }
+    }
+
+    @Command(name = "bench", mixinStandardHelpOptions = true,
+            description = "Measures what agreement costs here, beside what bounds it in the same run.")
+    static final class BenchCommand implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+        @Option(names = "--changes", defaultValue = "2000", description = "changes one at a time (${DEFAULT-VALUE})")
+        private int changes;
+        @Option(names = "--kills", defaultValue = "50", description = "leaders ended (${DEFAULT-VALUE})")
+        private int kills;
+        @Option(names = "--out", paramLabel = "FOLDER", description = "where to keep the table and the chart")
+        private Path kept;
+
+        @Override
+        public Integer call() throws Exception {
+            Map<String, Double> figures = new ClusterBench(Files.createTempDirectory("rockshift-bench")).run(changes, kills);
+            figures.forEach((name, value) -> spec.commandLine().getOut().printf(Locale.ROOT, "%-36s %12.2f%n", name, value));
+            if (kept != null) {
+                Files.createDirectories(kept);
+                table(kept.resolve("bench.csv"), figures);
+                Map<String, Double> ratios = new LinkedHashMap<>(figures);
+                ratios.keySet().removeIf(name -> !name.contains(" / "));
+                Charts.bars(kept.resolve("bench.png"), "Agreement beside what bounds it", "ratio", ratios);
+            }
+            return Commands.HELD;
+        }
+    }
+
+    private static void table(Path file, Map<String, Double> figures) throws IOException {
+        StringBuilder text = new StringBuilder("figure,value\n");
+        figures.forEach((name, value) -> text.append(String.format(Locale.ROOT, "\"%s\",%.3f%n", name, value)));
+        Files.writeString(file, text);
+    }
+}
--- a/src/main/java/rockshift/cluster/Client.java
+++ b/src/main/java/rockshift/cluster/Client.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.BufferedInputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -39,6 +40,7 @@
     private long calls;
     private String at;
     private Socket socket;
+    private DataInputStream in;
 
     /** @param patience ms for one call until another member is asked */
     public Client(List<String> addresses, RandomGenerator chance, int patience) {
@@ -64,13 +66,13 @@
             socket.setSoTimeout(patience);
             socket.connect(new InetSocketAddress(address.substring(0, colon),
                     Integer.parseInt(address.substring(colon + 1))), DIAL);
+            in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
             at = address;
         }
         try {
             long number = ++calls;
             call.put("call", number);
             socket.getOutputStream().write(Frames.frame(Frames.CALL, JSON.writeValueAsBytes(call)));
-            DataInputStream in = new DataInputStream(socket.getInputStream());
             while (true) {
                 Frames.Frame frame = Frames.read(in);
                 JsonNode answer = frame.kind() == Frames.REPLY ? JSON.readTree(frame.payload()) : null;
--- a/src/main/java/rockshift/cluster/ClusterMember.java
+++ b/src/main/java/rockshift/cluster/ClusterMember.java
@@ -74,6 +74,7 @@
     private volatile byte[] shown;
     private Membership shownMembers;
     private volatile boolean closed;
+    private volatile boolean leading;
     private long requests;
     private Governed.Reach reach;
     private String diskTrouble = "";
@@ -117,6 +118,11 @@
         return port;
     }
 
+    /** Whether it leads, as its own thread last saw it. */
+    public boolean leads() {
+        return leading;
+    }
+
     @Override
     public void close() throws InterruptedException {
         closed = true;
@@ -175,6 +181,7 @@
     }
 
     private void tend() {
+        leading = engine.raft().leads();
         if (engine.raft().members() != shownMembers) {
             show();
             links.greet();
--- a/src/main/java/rockshift/cluster/Engine.java
+++ b/src/main/java/rockshift/cluster/Engine.java
@@ -226,7 +226,6 @@
     @Override
     public void apply(Entry entry) {
         Sessions.Outcome outcome = sessions.apply(entry);
-        around.applied(entry, outcome);
         while (!proposals.isEmpty() && proposals.firstKey() <= entry.index()) {
             Map.Entry<Long, Waiting> first = proposals.pollFirstEntry();
             Waiting waiting = first.getValue();
@@ -235,6 +234,7 @@
                     ? new Answer(outcome.refused(), outcome.answer(), entry.index(), null)
                     : new Answer(Answer.UNKNOWN, new byte[0], 0, null));
         }
+        around.applied(entry, outcome);
     }
 
     @Override
--- a/src/main/java/rockshift/cluster/Links.java
+++ b/src/main/java/rockshift/cluster/Links.java
@@ -4,11 +4,11 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
+import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
@@ -170,8 +170,9 @@
         private final Dialled dialledAs;
         private final Frames frames = new Frames();
         private final ByteBuffer piece = ByteBuffer.allocate(PIECE);
-        private final ConcurrentLinkedQueue<ByteBuffer> waiting = new ConcurrentLinkedQueue<>();
-        private final AtomicInteger unsent = new AtomicInteger();
+        // Under the session's lock: frames that wait, the first perhaps in part, and their bytes.
+        private final ArrayDeque<ByteBuffer> waiting = new ArrayDeque<>();
+        private int unsent;
         private Codec.Hello other;
         private volatile String reason;
         private String about = "";
@@ -247,29 +248,43 @@
             }
         }
 
-        /** Queues a frame; what waits beyond the limit is dropped, as if it were lost on the way. */
+        /**
+         * Sends a frame, from the caller's thread where nothing waits before it. What would wait beyond the limit is dropped,
+         * as if it were lost on the way.
+         */
         void send(byte kind, byte[] payload) {
-            byte[] frame = Frames.frame(kind, payload);
-            if (unsent.addAndGet(frame.length) > UNSENT) {
-                unsent.addAndGet(-frame.length);
-                return;
+            ByteBuffer frame = ByteBuffer.wrap(Frames.frame(kind, payload));
+            session.getLock().lock();
+            try {
+                if (waiting.isEmpty()) {
+                    session.write(frame);
+                }
+                if (frame.hasRemaining() && unsent + frame.remaining() <= UNSENT) {
+                    unsent += frame.remaining();
+                    waiting.add(frame);
+                    session.setEvent(SelectionKey.OP_WRITE);
+                }
+            } catch (IOException broken) {
+                end("reset", String.valueOf(broken.getMessage()));
+            } finally {
+                session.getLock().unlock();
             }
-            waiting.add(ByteBuffer.wrap(frame));
-            session.setEvent(SelectionKey.OP_WRITE);
         }
 
         @Override
         public void outputReady(IOSession same) throws IOException {
-            for (ByteBuffer first = waiting.peek(); first != null; first = waiting.peek()) {
-                unsent.addAndGet(-session.write(first));
-                if (first.hasRemaining()) {
-                    return;
+            session.getLock().lock();
+            try {
+                for (ByteBuffer first = waiting.peek(); first != null; first = waiting.peek()) {
+                    unsent -= session.write(first);
+                    if (first.hasRemaining()) {
+                        return;
+                    }
+                    waiting.remove();
                 }
-                waiting.remove();
-            }
-            session.clearEvent(SelectionKey.OP_WRITE);
-            if (!waiting.isEmpty()) {
-                session.setEvent(SelectionKey.OP_WRITE);
+                session.clearEvent(SelectionKey.OP_WRITE);
+            } finally {
+                session.getLock().unlock();
             }
         }
 
--- a/src/main/java/rockshift/kit/World.java
+++ b/src/main/java/rockshift/kit/World.java
@@ -34,6 +34,9 @@
     private static final long TICK = 150;
     private static final int LINES = 4_000;
 
+    /** What most of a seed's faults are about: anything; who leads and who reads; leaders that die one after the other. */
+    private enum Theme { ANYTHING, READS, LEADERS }
+
     private record Event(long at, long number, Runnable work) { }
 
     /** What a run came to. */
@@ -52,6 +55,7 @@
     private final List<Client> clients = new ArrayList<>();
     private final boolean[][] cut;
     // How this seed differs from others.
+    private final Theme theme;
     private final Timing timing;
     private final long pace;
     private final boolean rigid;
@@ -73,12 +77,15 @@
         this.telling = telling;
         chance = new SplittableRandom(seed);
         encoding = chance.nextInt(8) == 0;
-        timing = new Timing(2_000, 400, 0.1, chance.nextInt(3) > 0, chance.nextInt(3) == 0 ? 1 + chance.nextInt(3) : 512);
-        far = chance.nextBoolean() ? chance.nextInt(members) : -1;
-        sluggish = chance.nextInt(4) == 0 ? chance.nextInt(members) : -1;
-        usualDelay = new long[] {20, 20, 200, 1_200}[chance.nextInt(4)];
-        pace = new long[] {700, 2_000, 5_000}[chance.nextInt(3)];
-        rigid = chance.nextInt(3) == 0;
+        theme = new Theme[] {Theme.ANYTHING, Theme.ANYTHING, Theme.READS, Theme.LEADERS}[chance.nextInt(4)];
+        boolean reads = theme == Theme.READS;
+        boolean small = theme == Theme.LEADERS || chance.nextInt(3) == 0;
+        timing = new Timing(2_000, 400, 0.1, chance.nextInt(3) > 0, small ? 1 + chance.nextInt(3) : 512);
+        far = reads || chance.nextBoolean() ? chance.nextInt(members) : -1;
+        sluggish = !reads && chance.nextInt(4) == 0 ? chance.nextInt(members) : -1;
+        usualDelay = reads ? 20 : new long[] {20, 20, 200, 1_200}[chance.nextInt(4)];
+        pace = reads ? 5_000 : new long[] {700, 2_000, 5_000}[chance.nextInt(3)];
+        rigid = reads || chance.nextInt(3) == 0;
         cut = new boolean[members][members];
         calmNetwork();
         for (int i = 0; i < members; i++) {
@@ -180,6 +187,46 @@
             return;
         }
         after(chance.nextLong(50, pace), this::trouble);
+        if (theme == Theme.READS && chance.nextInt(10) > 0) {
+            disturbReaders();
+        } else if (theme == Theme.LEADERS && chance.nextInt(4) > 0) {
+            hosts.stream().filter(other -> other.engine != null && other.engine.raft().leads()).forEach(Host::crash);
+        } else {
+            anyFault();
+        }
+    }
+
+    /** One that hears late is made leader, and then the others hear it late or never. */
+    private void disturbReaders() {
+        int other = chance.nextInt(hosts.size());
+        int fault = chance.nextInt(5);
+        if (fault < 2) {
+            handOver(far);
+        } else if (fault == 2) {
+            handOver(other);
+        } else if (fault == 3) {
+            for (int i = 0; i < hosts.size(); i++) {
+                cut[i][far] = true;
+                cut[far][i] = true;
+            }
+            tell("n%d is cut off", far);
+            healLater();
+        } else {
+            cut[far][other] = true;
+            tell("one-way cut from n%d to n%d", far, other);
+            healLater();
+        }
+    }
+
+    private void handOver(int to) {
+        hosts.stream().filter(other -> other.engine != null && other.engine.raft().leads()).findAny().ifPresent(leader -> {
+            tell("n%d is asked to hand over to n%d", leader.place, to);
+            leader.engine.transfer(0, hosts.get(to).id());
+            leader.run();
+        });
+    }
+
+    private void anyFault() {
         Host host = hosts.get(chance.nextInt(hosts.size()));
         switch (chance.nextInt(15)) {
             case 0, 1 -> host.crash();
@@ -281,8 +328,7 @@
                 tell("n%d is asked to add n%d", leader.place, host.place);
                 leader.engine.member(0, host.member(Member.Role.JOINING), false);
             } else if (chance.nextInt(3) > 0) {
-                tell("n%d is asked to hand over to n%d", leader.place, host.place);
-                leader.engine.transfer(0, host.id());
+                handOver(host.place);
             } else if (raft.members().voters() > 2) {
                 tell("n%d is asked to remove n%d", leader.place, host.place);
                 leader.engine.member(0, host.member(Member.Role.VOTER), true);
--- a/src/main/java/rockshift/raft/Raft.java
+++ b/src/main/java/rockshift/raft/Raft.java
@@ -133,8 +133,9 @@
         }
     }
 
+    /** Waits as one who has just heard of a leader, or that another may become one. */
     private void rest() {
-        campaignAt = now + timing.election() + chance.nextLong(timing.election());
+        campaignAt = now + timing.election() + chance.nextLong(timing.election() / 2);
     }
 
     // ---- what is known --------------------------------------------------------------------------
@@ -423,7 +424,8 @@
         role = trial ? Role.TRIAL : Role.CANDIDATE;
         leader = 0;
         given.clear();
-        rest();
+        // Who still waits for the old leader refuses a trial, which harms nobody: it is made again soon.
+        campaignAt = now + timing.election() / (trial ? 5 : 2) + chance.nextLong(timing.election() / (trial ? 5 : 2));
         if (!trial) {
             vote(new Ballot(ballot.term() + 1, id));
         }
