Members on real sockets in stories; one with no entries yet reaches those that name it

The stories found that a member which joined a cluster founded a moment earlier knew no addresses and could not answer, so a founding that crossed never elected anyone; it now reaches the members that another's greeting named.

--- a/src/main/java/rockshift/cluster/ClusterMember.java
+++ b/src/main/java/rockshift/cluster/ClusterMember.java
@@ -73,6 +73,7 @@
     /** The greeting, for other threads, and the members that it names. */
     private volatile byte[] shown;
     private Membership shownMembers;
+    private Membership heardOf;
     private volatile boolean closed;
     private volatile boolean leading;
     private long requests;
@@ -128,9 +129,9 @@
         closed = true;
         thread.interrupt();
         diskThread.interrupt();
-        links.close();
         thread.join(RETRY);
         diskThread.join(RETRY);
+        links.close();
         try {
             disk.close();
         } catch (IOException ignored) {
@@ -199,7 +200,7 @@
             }
         }
         Set<String> others = new HashSet<>();
-        for (Member member : engine.raft().members().all()) {
+        for (Member member : addressed().all()) {
             if (member.id() != id) {
                 others.add(route(member.name(), member.address()));
             }
@@ -214,6 +215,12 @@
         links.tend(others, System.nanoTime() / 1_000_000);
     }
 
+    /** Whom to reach: the members, or as one that has no entries yet, those that another member named. */
+    private Membership addressed() {
+        Membership members = engine.raft().members();
+        return members.all().isEmpty() && heardOf != null ? heardOf : members;
+    }
+
     private String route(String name, String address) {
         return charter.routes().getOrDefault(name, address);
     }
@@ -249,6 +256,7 @@
     public void met(Codec.Hello hello) {
         offer(() -> {
             met.put(hello.name(), hello);
+            heardOf = hello.members().get(id) != null ? hello.members() : heardOf;
             if (cluster == 0) {
                 found(hello);
             } else if (hello.cluster() != 0 && hello.cluster() != cluster) {
@@ -317,13 +325,10 @@
 
     @Override
     public void send(Message message) {
-        Member to = engine.raft().members().get(message.to());
-        String address = to != null ? route(to.name(), to.address()) : met.values().stream()
-                .filter(other -> other.id() == message.to()).map(other -> charter.routes().getOrDefault(other.name(),
-                        charter.founders().get(other.name()))).findFirst().orElse(null);
-        if (address != null) {
+        Member to = addressed().get(message.to());
+        if (to != null) {
             try {
-                links.send(address, Codec.message(message));
+                links.send(route(to.name(), to.address()), Codec.message(message));
             } catch (IOException impossible) {
                 throw new UncheckedIOException(impossible);
             }
--- a/src/main/java/rockshift/cluster/Links.java
+++ b/src/main/java/rockshift/cluster/Links.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.util.ArrayDeque;
@@ -168,6 +169,7 @@
     final class Link implements IOEventHandler {
         private final IOSession session;
         private final Dialled dialledAs;
+        private final SocketAddress from;
         private final Frames frames = new Frames();
         private final ByteBuffer piece = ByteBuffer.allocate(PIECE);
         // Under the session's lock: frames that wait, the first perhaps in part, and their bytes.
@@ -181,6 +183,7 @@
         Link(IOSession session, Dialled dialledAs) {
             this.session = session;
             this.dialledAs = dialledAs;
+            from = session.getRemoteAddress();
         }
 
         @Override
@@ -318,7 +321,7 @@
                 dialledAs.link = null;
             }
             if (dialledAs != null || other != null || reason != null && !reason.equals("left")) {
-                LOG.info("closed member connection {}: {} {}", other == null ? session.getRemoteAddress() : other.name(),
+                LOG.info("closed member connection {}: {} {}", other == null ? from : other.name(),
                         reason == null ? "stopping" : reason, about);
             }
         }
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -9,6 +9,8 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.TreeSet;
+import java.util.Map;
+import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import rockshift.FakeHost.Report;
 
@@ -568,4 +570,83 @@
         assertThat(host.tables.get(host.tableOf(1)).keySet()).containsExactlyInAnyOrder(10_001L, 10_002L, 10_003L,
                 10_004L);
     }
+
+    /** Staff agreed that a replica be drained: as a drain in the list, but for the one that starts anew. */
+    @Test
+    void whomStaffKeepOutLeavesTheTablesUntilLetBack() {
+        FakeHost host = new FakeHost().fleet(4).pass(3);
+        host.logic.agreed(host.now, 1, Map.of(2L, 0L, 3L, Long.MAX_VALUE), Map.of());
+        host.turn();
+        assertThat(host.tables.values()).allSatisfy(lines -> assertThat(lines).containsOnlyKeys(1L, 4L));
+        host.logic.agreed(host.now, 1, Map.of(), Map.of());
+        host.turn();
+        assertThat(host.tables.get(0)).as("an old version means nothing").containsOnlyKeys(1L, 4L);
+        host.logic.listed(host.now, List.of(FakeHost.ready(2, "west", host.now), FakeHost.ready(3, "east", host.now)), true);
+        host.pass(3);
+        assertThat(host.tables.get(0)).as("a drain meant the process before; a hold means any").containsOnlyKeys(1L, 2L, 4L);
+        host.logic.agreed(host.now, 2, Map.of(), Map.of());
+        host.pass(3);
+        assertThat(host.tables.get(0)).containsOnlyKeys(1L, 2L, 3L, 4L);
+    }
+
+    /** Rule one before staff's wish: somebody must be left, in each zone where a class must stay in it. */
+    @Test
+    void staffCanNotKeepOutTheLast() {
+        Map<Long, Long> all = Map.of(1L, Long.MAX_VALUE, 2L, Long.MAX_VALUE, 3L, Long.MAX_VALUE);
+        FakeHost host = new FakeHost().fleet(3).pass(3);
+        host.logic.agreed(host.now, 1, all, Map.of());
+        host.pass(3);
+        assertThat(host.tables.get(0)).containsOnlyKeys(1L, 2L, 3L);
+        FakeHost bound = new FakeHost("class.0.own.zone", "true").fleet(3).pass(3);
+        bound.logic.agreed(bound.now, 1, Map.of(2L, Long.MAX_VALUE, 1L, Long.MAX_VALUE), Map.of());
+        bound.pass(3);
+        assertThat(bound.tables.get(bound.tableOf(1))).as("the only one in the west").containsOnlyKeys(2L);
+        assertThat(bound.tables.get(bound.tableOf(0))).containsOnlyKeys(3L);
+    }
+
+    /** Cut off from the other governors: nothing moves, but for what the rules owe. */
+    @Test
+    void whoIsCutOffMovesNothingAndTakesOutWhoDrains() {
+        FakeHost host = new FakeHost().fleet(4).pass(3);
+        host.logic.reach(host.now, Reach.WITHDRAW);
+        Map<Long, Double> before = new TreeMap<>(host.tables.get(0));
+        for (int i = 0; i < 10; i++) {
+            host.second(new FakeHost.Report(1, 200, 0, 0.9), new FakeHost.Report(2, 20, 0, 0.2),
+                    new FakeHost.Report(3, 50, 0, 0.5), new FakeHost.Report(4, 20, 0, 0.9));
+        }
+        assertThat(host.tables.get(0)).as("no weight moves").isEqualTo(before);
+        host.logic.listed(host.now, List.of(new Listed(2, "west", "plain", Listed.Health.DRAINING, 0)), true);
+        host.pass(2);
+        before.remove(2L);
+        assertThat(host.tables.get(0)).isEqualTo(before);
+        host.logic.reach(host.now, Reach.FULL);
+        host.pass(3);
+        assertThat(host.tables.get(0)).as("it moves again").isNotEqualTo(before);
+    }
+
+    /** Cut off, and everyone in the tables is gone: a line is owed before silence. */
+    @Test
+    void whoIsCutOffStillLeavesNoProxyWithoutAReplica() {
+        FakeHost host = new FakeHost().fleet(2).pass(3);
+        host.logic.reach(host.now, Reach.WITHDRAW);
+        host.logic.listed(host.now, List.of(FakeHost.ready(5, "east", 0), FakeHost.ready(6, "west", 0)), true);
+        host.pass(3);
+        assertThat(host.tables.get(0)).containsOnlyKeys(1L, 2L);
+        host.logic.listed(host.now, List.of(new Listed(1, "east", "plain", Listed.Health.GONE, 0),
+                new Listed(2, "west", "plain", Listed.Health.GONE, 0)), true);
+        host.pass(3);
+        assertThat(host.tables.values()).allSatisfy(lines -> assertThat(lines).containsOnlyKeys(5L, 6L));
+    }
+
+    @Test
+    void heldWhoIsCutOffOrdersNothingAtAll() {
+        FakeHost host = new FakeHost().fleet(4).pass(3);
+        host.logic.reach(host.now, Reach.HOLD);
+        Map<Long, Double> before = new TreeMap<>(host.tables.get(0));
+        host.logic.listed(host.now, List.of(new Listed(2, "west", "plain", Listed.Health.GONE, 0)), true);
+        host.logic.joined(host.now, 7, "east", 10);
+        host.pass(5);
+        assertThat(host.tables.get(0)).isEqualTo(before);
+        assertThat(host.bound).doesNotContain(7);
+    }
 }
--- /dev/null
+++ b/src/test/java/rockshift/cluster/ClusterMemberTest.java
@@ -0,0 +1,263 @@
+package rockshift.cluster;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import rockshift.kit.Relay;
+import rockshift.raft.Timing;
+
+/** Stories of members on real loopback sockets and real folders, with relays between them that can be cut. */
+class ClusterMemberTest {
+    private static final int LONG = 60_000;
+
+    @TempDir
+    Path folder;
+    private final Relay[][] ways = new Relay[4][4];
+    private final Relay[] fronts = new Relay[4];
+    private final ClusterMember[] members = new ClusterMember[4];
+    private final Map<Integer, Long> versions = new ConcurrentHashMap<>();
+    private final Map<Integer, Governed.Reach> reaches = new ConcurrentHashMap<>();
+    private final SplittableRandom chance = new SplittableRandom(5);
+
+    private final class Governor implements Governed {
+        private final int number;
+
+        Governor(int number) {
+            this.number = number;
+        }
+
+        @Override
+        public void agreed(long version, Map<String, Change> out, Map<String, Double> terms) {
+            versions.put(number, version);
+        }
+
+        @Override
+        public void reach(Reach reach) {
+            reaches.put(number, reach);
+        }
+
+        @Override
+        public String objection(Change change, Map<String, Change> out) {
+            return change.subject().equals("s-unknown") ? "unknown-replica" : null;
+        }
+
+        @Override
+        public long started(String replica) {
+            return 77;
+        }
+    }
+
+    ClusterMemberTest() throws IOException {
+        for (int i = 0; i < 4; i++) {
+            fronts[i] = new Relay(i);
+            for (int j = 0; j < 4; j++) {
+                ways[i][j] = new Relay(i * 4L + j);
+            }
+        }
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        for (ClusterMember member : members) {
+            if (member != null) {
+                member.close();
+            }
+        }
+        for (int i = 0; i < 4; i++) {
+            fronts[i].close();
+            for (Relay way : ways[i]) {
+                way.close();
+            }
+        }
+    }
+
+    private void start(int i, int founders) throws Exception {
+        Map<String, String> named = new LinkedHashMap<>();
+        Map<String, String> routes = new LinkedHashMap<>();
+        for (int k = 0; k < 4; k++) {
+            if (k < founders) {
+                named.put("n" + k, fronts[k].address());
+            }
+            routes.put("n" + k, ways[i][k].address());
+        }
+        members[i] = new ClusterMember(new ClusterCharter("n" + i, new InetSocketAddress("127.0.0.1", 0),
+                fronts[i].address(), folder.resolve("d" + i), named, routes, new Timing(4_000, 800, 0.05, true, 512),
+                new Engine.Compaction(100, 1 << 20), ClusterCharter.Minority.WITHDRAW), new Governor(i));
+        members[i].start();
+        fronts[i].to(members[i].port());
+        for (int k = 0; k < 4; k++) {
+            ways[k][i].to(members[i].port());
+        }
+    }
+
+    private void startThree() throws Exception {
+        for (int i = 0; i < 3; i++) {
+            start(i, 3);
+        }
+        until(() -> leader() >= 0);
+    }
+
+    private interface Condition {
+        boolean holds() throws Exception;
+    }
+
+    private static void until(Condition condition) throws Exception {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LONG);
+        while (!condition.holds()) {
+            assertThat(System.nanoTime()).as("in time").isLessThan(end);
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+    }
+
+    private int leader() {
+        for (int i = 0; i < members.length; i++) {
+            if (members[i] != null && members[i].leads()) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    private Client client(int... first) {
+        List<String> addresses = new ArrayList<>();
+        for (int i : first) {
+            addresses.add(fronts[i].address());
+        }
+        return new Client(addresses, chance, 1_000);
+    }
+
+    private static long soon() {
+        return System.nanoTime() / 1_000_000 + LONG;
+    }
+
+    private static Change hold(String replica) {
+        return new Change(Change.Kind.HOLD, replica, 0, 0, "");
+    }
+
+    private void cut(int member, boolean now) {
+        for (int k = 0; k < 4; k++) {
+            ways[member][k].cut(now);
+            ways[k][member].cut(now);
+        }
+    }
+
+    @Test
+    void aChangeReachesAllAndAKilledMemberFindsItAgain() throws Exception {
+        startThree();
+        try (Client client = client(0, 1, 2)) {
+            assertThat(client.change(hold("s-1"), false, soon()).path("answer").path("version").asLong()).isEqualTo(1);
+            int killed = leader();
+            members[killed].close();
+            members[killed] = null;
+            assertThat(client.change(hold("s-2"), false, soon()).path("answer").path("version").asLong()).isEqualTo(2);
+            start(killed, 3);
+            until(() -> versions.values().stream().allMatch(version -> version == 2) && versions.size() == 3);
+        }
+    }
+
+    @Test
+    void whoIsCutOffAppliesNothingAndAskedElsewhereTheChangeHappensOnce() throws Exception {
+        startThree();
+        int old = leader();
+        cut(old, true);
+        int other = (old + 1) % 3;
+        try (Client client = client(old, other, (old + 2) % 3)) {
+            JsonNode answer = client.change(hold("s-1"), false, soon());
+            assertThat(answer.path("answer").path("version").asLong()).isEqualTo(1);
+            until(() -> reaches.get(old) == Governed.Reach.WITHDRAW);
+            assertThat(versions.get(old)).isZero();
+            cut(old, false);
+            until(() -> versions.get(old) == 1 && reaches.get(old) == Governed.Reach.FULL);
+            assertThat(client.ask(fronts[other].address(), Client.call("log")).path("changes")).hasSize(1);
+        }
+    }
+
+    @Test
+    void theGovernorAskedMayObjectAndADrainRemembersTheStart() throws Exception {
+        startThree();
+        try (Client client = client(0, 1, 2)) {
+            assertThat(client.change(hold("s-unknown"), false, soon()).path("refused").asText()).isEqualTo("unknown-replica");
+            assertThat(client.change(hold("s-unknown"), true, soon()).path("answer").path("version").asLong()).isEqualTo(1);
+            client.change(new Change(Change.Kind.DRAIN, "s-3", 0, 0, "why"), false, soon());
+            until(() -> client.ask(fronts[0].address(), Client.call("log")).path("changes").size() == 2);
+            assertThat(client.ask(fronts[0].address(), Client.call("log")).path("changes").get(1).path("change")
+                    .path("started").asLong()).isEqualTo(77);
+        }
+    }
+
+    @Test
+    void aWipedMemberIsNoMemberUntilItIsAddedAnew() throws Exception {
+        startThree();
+        try (Client client = client(0, 1, 2)) {
+            for (int i = 0; i < 300; i++) {
+                client.change(hold("s-" + i), false, soon());
+            }
+            int wiped = (leader() + 1) % 3;
+            members[wiped].close();
+            try (Stream<Path> files = Files.list(folder.resolve("d" + wiped))) {
+                for (Path file : files.toList()) {
+                    Files.delete(file);
+                }
+            }
+            versions.remove(wiped);
+            start(wiped, 3);
+            String at = fronts[wiped].address();
+            until(() -> client.ask(at, Client.call("status")).path("cluster").asText().equals("0"));
+            assertThat(client.change(hold("s-x"), false, soon()).has("refused")).as("two of three are enough").isFalse();
+            assertThat(client.askLeader(Client.call("remove").put("name", "n" + wiped), soon()).has("refused")).isFalse();
+            JsonNode self = client.ask(at, Client.call("status"));
+            assertThat(client.askLeader(Client.call("add").put("name", "n" + wiped).put("address", at)
+                    .put("id", self.path("number").asLong()), soon()).has("refused")).isFalse();
+            until(() -> versions.getOrDefault(wiped, 0L) == 301);
+            until(() -> client.ask(at, Client.call("status")).path("members").toString().contains("\"n" + wiped
+                    + "\",\"address\":\"" + at + "\",\"role\":\"voter\""));
+        }
+    }
+
+    @Test
+    void aGarbledFrameEndsItsConnectionAlone() throws Exception {
+        startThree();
+        try (Client client = client(0, 1, 2)) {
+            client.change(hold("s-1"), false, soon());
+            try (Socket stranger = new Socket("127.0.0.1", members[0].port())) {
+                stranger.getOutputStream().write(new byte[] {9, 9, 9, 9, 9, 9, 9, 9, 9, 9});
+                assertThat(ended(stranger)).isTrue();
+            }
+            assertThat(client.change(hold("s-2"), false, soon()).path("answer").path("version").asLong()).isEqualTo(2);
+            assertThat(client.ask(fronts[0].address(), Client.call("nonsense")).path("refused").asText())
+                    .contains("'nonsense' is not known");
+        }
+    }
+
+    private static boolean ended(Socket socket) throws IOException {
+        try {
+            return socket.getInputStream().read() < 0;
+        } catch (SocketException reset) {
+            return true;
+        }
+    }
+
+    @Test
+    void aFolderInUseKeepsASecondMemberFromStarting() throws Exception {
+        start(0, 1);
+        assertThatThrownBy(() -> start(0, 1)).isInstanceOf(IOException.class).hasMessageContaining("in use");
+    }
+}
