--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -285,8 +285,8 @@
     }
 
     /**
-     * Keeps out whom staff asked to, unless nobody else could answer: no proxy is left without a replica. Where
-     * a class must stay in its zone, each zone keeps one. Could go on using a replica that staff need to stop.
+     * Keeps out whom staff asked to, unless nobody else could answer: no proxy is left without a replica. A
+     * class that must stay in its zone keeps one in each. Could go on with one that staff need to stop.
      */
     private void heed() {
         boolean bound = IntStream.range(0, classes).anyMatch(k -> homebound[k]);
