Say once what stood twice; no work in the module where nothing is asked or cut off

Found on rereading; behaviour stays. In the module each batch looked for bare tables and searched a spare for every replica, also where no governor agrees on anything. CRC32C, the read of HOST:PORT, writing a file aside, a frame's length, who leads in a world, the explorer's last line, and the commands drain, hold and back each stood two or more times; unused fields are gone.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -294,7 +294,8 @@
                 replica.started <= asked.getOrDefault(replica.id, Long.MIN_VALUE));
         List<Replica> left = replicas.values().stream().filter(Replica::usable).toList();
         for (Replica replica : replicas.values()) {
-            replica.keptOut &= left.stream().anyMatch(other -> !bound || other.zone.equals(replica.zone));
+            replica.keptOut = replica.keptOut
+                    && left.stream().anyMatch(other -> !bound || other.zone.equals(replica.zone));
         }
     }
 
@@ -715,8 +716,9 @@
             }
         }
         // Cut off from the others, it takes out what left the list, and lays lines where a table has none.
-        List<Request> bare = requests.stream().filter(request -> request.paths.values().stream()
-                .noneMatch(path -> path.published > 0 && allowed(path))).toList();
+        List<Request> bare = reach == Reach.FULL ? List.of() : requests.stream()
+                .filter(request -> request.paths.values().stream()
+                        .noneMatch(path -> path.published > 0 && allowed(path))).toList();
         for (Change change : changes()) {
             boolean owed = change.path != null && (change.to == 0 || bare.contains(change.request));
             if (reach == Reach.HOLD || reach == Reach.WITHDRAW && !owed) {
--- a/src/main/java/rockshift/cli/ClusterCommands.java
+++ b/src/main/java/rockshift/cli/ClusterCommands.java
@@ -29,15 +29,7 @@
             ClusterCommands.Drain.class, ClusterCommands.Hold.class, ClusterCommands.Back.class, ClusterCommands.Members.class,
             ClusterCommands.Transfer.class, ClusterCommands.Snapshot.class, ClusterCommands.ListChanges.class,
             ExploreCommand.class, MeasureCommands.TrialCommand.class, MeasureCommands.BenchCommand.class})
-final class ClusterCommands implements Runnable {
-    @Spec
-    private CommandSpec spec;
-
-    @Override
-    public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing");
-    }
-
+final class ClusterCommands extends CommandGroup {
     /** Whom to ask, and for how long. */
     static final class Whom {
         @Option(names = "--at", split = ",", paramLabel = "ADDRESS", description = "members to ask, by HOST:PORT")
@@ -160,67 +152,54 @@
         }
     }
 
-    /** A replica that is meant. */
-    static final class Meant {
+    /** Asks for a change of one replica; the commands differ by which. */
+    abstract static class ReplicaCommand implements Callable<Integer> {
+        private final Change.Kind kind;
+        @Mixin
+        private Whom whom;
         @Parameters(index = "0", paramLabel = "REPLICA", description = "its name in discovery")
         private String replica;
         @Option(names = "--reason", defaultValue = "", description = "for the record")
         private String reason;
         @Option(names = "--force", description = "even where the governor asked objects")
         private boolean force;
-    }
 
-    @Command(name = "drain", mixinStandardHelpOptions = true,
-            description = "Has a replica take nothing new, until it starts anew or is let back.")
-    static final class Drain implements Callable<Integer> {
-        @Mixin
-        private Whom whom;
-        @Mixin
-        private Meant meant;
+        ReplicaCommand(Change.Kind kind) {
+            this.kind = kind;
+        }
 
         @Override
         public Integer call() throws Exception {
-            return whom.change(new Change(Change.Kind.DRAIN, meant.replica, 0, 0, meant.reason), meant.force);
+            return whom.change(new Change(kind, replica, 0, 0, reason), force);
+        }
+    }
+
+    @Command(name = "drain", mixinStandardHelpOptions = true,
+            description = "Has a replica take nothing new, until it starts anew or is let back.")
+    static final class Drain extends ReplicaCommand {
+        Drain() {
+            super(Change.Kind.DRAIN);
         }
     }
 
     @Command(name = "hold", mixinStandardHelpOptions = true,
             description = "Keeps a replica out, also after it starts anew, until it is let back.")
-    static final class Hold implements Callable<Integer> {
-        @Mixin
-        private Whom whom;
-        @Mixin
-        private Meant meant;
-
-        @Override
-        public Integer call() throws Exception {
-            return whom.change(new Change(Change.Kind.HOLD, meant.replica, 0, 0, meant.reason), meant.force);
+    static final class Hold extends ReplicaCommand {
+        Hold() {
+            super(Change.Kind.HOLD);
         }
     }
 
     @Command(name = "back", mixinStandardHelpOptions = true, description = "Lets a drained or held replica back.")
-    static final class Back implements Callable<Integer> {
-        @Mixin
-        private Whom whom;
-        @Mixin
-        private Meant meant;
-
-        @Override
-        public Integer call() throws Exception {
-            return whom.change(new Change(Change.Kind.BACK, meant.replica, 0, 0, meant.reason), meant.force);
+    static final class Back extends ReplicaCommand {
+        Back() {
+            super(Change.Kind.BACK);
         }
     }
 
     @Command(name = "member", mixinStandardHelpOptions = true, description = "Changes who takes part, one at a time.",
             synopsisSubcommandLabel = "COMMAND", subcommands = {Add.class, Remove.class})
-    static final class Members implements Runnable {
-        @Spec
-        private CommandSpec spec;
-
-        @Override
-        public void run() {
-            throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing");
-        }
+    static final class Members extends CommandGroup {
     }
 
     @Command(name = "add", mixinStandardHelpOptions = true,
--- a/src/main/java/rockshift/cli/Commands.java
+++ b/src/main/java/rockshift/cli/Commands.java
@@ -19,14 +19,11 @@
 @Command(name = "rockshift", mixinStandardHelpOptions = true, version = "rockshift 0.1.0",
         description = "A central planner behind plain proxies.", synopsisSubcommandLabel = "COMMAND",
         subcommands = {Commands.Serve.class, Commands.Play.class, Commands.Check.class, ClusterCommands.class})
-public final class Commands implements Runnable {
+public final class Commands extends CommandGroup {
     static final int HELD = 0;
     static final int BROKEN = 1;
     static final int UNUSABLE = 2;
 
-    @Spec
-    private CommandSpec spec;
-
     /** Runs one command line; answers its exit status. */
     public static int run(String... arguments) {
         return new CommandLine(new Commands()).setCaseInsensitiveEnumValuesAllowed(true)
@@ -37,11 +34,6 @@
                 }).execute(arguments);
     }
 
-    @Override
-    public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing");
-    }
-
     /** A governor on sockets. */
     @Command(name = "serve", mixinStandardHelpOptions = true,
             description = "Serves as a governor, as the file that RELAY_CONFIG names tells.")
--- a/src/main/java/rockshift/cli/ExploreCommand.java
+++ b/src/main/java/rockshift/cli/ExploreCommand.java
@@ -37,18 +37,16 @@
             out.println("seed " + seed + ": " + (result.violation() == null ? "no violation" : result.violation()));
             return result.violation() == null ? Commands.HELD : Commands.BROKEN;
         }
-        long steps = 0;
-        long broken = 0;
+        Explorer.Findings all = Explorer.Findings.NONE;
         for (long done = 0; done < seeds; done += STEP) {
             Explorer.Findings part = Explorer.explore(first + done, Math.min(STEP, seeds - done), members, Plant::new);
-            steps += part.steps();
-            broken += part.broken().size();
+            all = all.and(part);
             part.broken().forEach(result -> out.println("seed " + result.seed() + ": " + result.violation()));
             if (System.console() != null) {
                 System.err.print("\r" + Math.min(seeds, done + STEP) + " of " + seeds);
             }
         }
-        out.println("explore: " + seeds + " seeds, " + steps + " steps, " + broken + " violations");
-        return broken == 0 ? Commands.HELD : Commands.BROKEN;
+        out.println(all.line());
+        return all.broken().isEmpty() ? Commands.HELD : Commands.BROKEN;
     }
 }
--- a/src/main/java/rockshift/cluster/Client.java
+++ b/src/main/java/rockshift/cluster/Client.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import rockshift.operator.Section;
 
 /**
  * Speaks to members as staff's commands do: asks one, goes where it points, and asks again under the same serial until it is
@@ -57,15 +58,11 @@
     public JsonNode ask(String address, ObjectNode call) throws IOException {
         if (!address.equals(at) || socket == null) {
             close();
-            int colon = address.lastIndexOf(':');
-            if (colon < 1) {
-                throw new IOException("'" + address + "' is no address with a port");
-            }
+            InetSocketAddress remote = remote(address);
             socket = new Socket();
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(patience);
-            socket.connect(new InetSocketAddress(address.substring(0, colon),
-                    Integer.parseInt(address.substring(colon + 1))), DIAL);
+            socket.connect(remote, DIAL);
             in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
             at = address;
         }
@@ -86,6 +83,14 @@
         }
     }
 
+    private static InetSocketAddress remote(String address) throws IOException {
+        try {
+            return Section.socket(address);
+        } catch (IllegalArgumentException wrong) {
+            throw new IOException(wrong.getMessage(), wrong);
+        }
+    }
+
     /** Asks members in turn, the one that leads once it is known, until one answers for good. */
     public JsonNode askLeader(ObjectNode call, long deadlineMs) throws IOException, InterruptedException {
         String trouble = "no member was asked";
--- a/src/main/java/rockshift/cluster/ClusterMember.java
+++ b/src/main/java/rockshift/cluster/ClusterMember.java
@@ -44,14 +44,14 @@
     private static final int MOST_WAITING = 20_000;
     /** Inputs taken in before the engine decides: a batch. */
     private static final int MOST_AT_ONCE = 1_000;
-    /** Ms between two looks at the clock, at most; between two tries of a save that failed; and of two greetings. */
+    /** Ms between two looks at the clock, at most; and between two tries of a save that failed. */
     private static final long LONGEST_PAUSE = 10;
     private static final long RETRY = 500;
     /** Changes that can be listed afterwards. */
     private static final int MOST_RECENT = 4_096;
     private static final long NANOS_PER_TENTH = 100_000;
 
-    private record Asked(Links.Link link, long number, String kind) { }
+    private record Asked(Links.Link link, long number) { }
 
     private final ClusterCharter charter;
     private final Governed governed;
@@ -74,6 +74,8 @@
     private volatile byte[] shown;
     private Membership shownMembers;
     private Membership heardOf;
+    /** Addresses of the others; null when they are to be reckoned anew. */
+    private Set<String> others;
     private volatile boolean closed;
     private volatile boolean leading;
     private long requests;
@@ -81,7 +83,6 @@
     private String diskTrouble = "";
     private int port;
 
-
     public ClusterMember(ClusterCharter charter, Governed governed) throws IOException {
         this.charter = charter;
         this.governed = governed;
@@ -202,20 +203,27 @@
                         charter.minority().name().toLowerCase(Locale.ROOT));
             }
         }
-        Set<String> others = new HashSet<>();
+        if (others == null) {
+            others = others();
+        }
+        links.tend(others, System.nanoTime() / 1_000_000);
+    }
+
+    private Set<String> others() {
+        Set<String> all = new HashSet<>();
         for (Member member : addressed().all()) {
             if (member.id() != id) {
-                others.add(route(member.name(), member.address()));
+                all.add(route(member.name(), member.address()));
             }
         }
         if (cluster == 0) {
             charter.founders().forEach((name, address) -> {
                 if (!name.equals(charter.name())) {
-                    others.add(route(name, address));
+                    all.add(route(name, address));
                 }
             });
         }
-        links.tend(others, System.nanoTime() / 1_000_000);
+        return all;
     }
 
     /** Whom to reach: the members, or as one that has no entries yet, those that another member named. */
@@ -243,8 +251,8 @@
     private void show() {
         try {
             shownMembers = engine.raft().members();
-            shown = Codec.hello(new Codec.Hello(Frames.VERSION, cluster, id, charter.name(),
-                    engine.raft().members()));
+            others = null;
+            shown = Codec.hello(new Codec.Hello(Frames.VERSION, cluster, id, charter.name(), shownMembers));
         } catch (IOException impossible) {
             throw new UncheckedIOException(impossible);
         }
@@ -259,7 +267,10 @@
     public void met(Codec.Hello hello) {
         offer(() -> {
             met.put(hello.name(), hello);
-            heardOf = hello.members().get(id) != null ? hello.members() : heardOf;
+            if (hello.members().get(id) != null) {
+                heardOf = hello.members();
+                others = null;
+            }
             if (cluster == 0) {
                 found(hello);
             } else if (hello.cluster() != 0 && hello.cluster() != cluster) {
@@ -486,7 +497,7 @@
             number = number(call, "call");
             String op = call.getOrDefault("op", "");
             long request = ++requests;
-            asked.put(request, new Asked(from, number, op));
+            asked.put(request, new Asked(from, number));
             switch (op) {
                 case "status" -> reply(request, this::status);
                 case "log" -> {
@@ -524,10 +535,11 @@
             change = new Change(change.kind(), change.subject(), governed.started(change.subject()), 0, change.reason());
         }
         // A change sent again must meet its own first time, not this check: only the state can tell which it is.
-        String objection = engine.raft().leads() && !Boolean.parseBoolean(call.get("again"))
-                ? agreed.check(change) : null;
-        objection = objection == null && engine.raft().leads() && !Boolean.parseBoolean(call.get("force"))
-                && !Boolean.parseBoolean(call.get("again")) ? governed.objection(change, agreed.out()) : objection;
+        boolean first = engine.raft().leads() && !Boolean.parseBoolean(call.get("again"));
+        String objection = first ? agreed.check(change) : null;
+        if (first && objection == null && !Boolean.parseBoolean(call.get("force"))) {
+            objection = governed.objection(change, agreed.out());
+        }
         if (objection != null) {
             answer(request, new Engine.Answer(objection, new byte[0], 0, null));
         } else {
--- a/src/main/java/rockshift/cluster/Codec.java
+++ b/src/main/java/rockshift/cluster/Codec.java
@@ -8,7 +8,6 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.zip.CRC32C;
 import rockshift.raft.Ballot;
 import rockshift.raft.Entry;
 import rockshift.raft.Member;
@@ -28,12 +27,6 @@
     private Codec() {
     }
 
-    static int checksum(byte[] bytes, int from, int length) {
-        CRC32C sum = new CRC32C();
-        sum.update(bytes, from, length);
-        return (int) sum.getValue();
-    }
-
     /** Writes the items of one array. */
     private static final class Writer {
         final ByteArrayOutputStream bytes = new ByteArrayOutputStream(128);
--- a/src/main/java/rockshift/cluster/DurableLog.java
+++ b/src/main/java/rockshift/cluster/DurableLog.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import rockshift.raft.Ballot;
+import rockshift.raft.Checksum;
 import rockshift.raft.Entry;
 import rockshift.raft.Member;
 import rockshift.raft.Membership;
@@ -152,7 +153,7 @@
         String name = segment(number);
         ByteBuffer head = ByteBuffer.wrap(bytes);
         if (bytes.length < HEADER || head.getInt(0) != MAGIC || head.getLong(8) != number
-                || head.getInt(HEADER - 4) != Codec.checksum(bytes, 0, HEADER - 4)) {
+                || head.getInt(HEADER - 4) != Checksum.of(bytes, 0, HEADER - 4)) {
             throw new Unrecoverable(name, 0, "its header is damaged");
         } else if (head.getInt(4) != FORMAT) {
             throw new Unrecoverable(name, 4, "format " + head.getInt(4) + ", this is " + FORMAT);
@@ -231,7 +232,7 @@
         ByteBuffer frame = ByteBuffer.wrap(bytes);
         int length = frame.getInt(at);
         return length >= 0 && length <= LONGEST && length <= bytes.length - at - FRAME
-                && frame.getInt(at + 4) == Codec.checksum(bytes, at + 8, length + 1);
+                && frame.getInt(at + 4) == Checksum.of(bytes, at + 8, length + 1);
     }
 
     private static boolean valid(byte[] bytes, int at, byte kind) {
@@ -267,16 +268,21 @@
         byte[] body = new byte[payload.length + 1];
         body[0] = kind;
         System.arraycopy(payload, 0, body, 1, payload.length);
-        into.writeBytes(ByteBuffer.allocate(8).putInt(payload.length).putInt(Codec.checksum(body, 0, body.length)).array());
+        into.writeBytes(ByteBuffer.allocate(8).putInt(payload.length).putInt(Checksum.of(body)).array());
         into.writeBytes(body);
     }
 
     private void replace(String name, byte kind, byte[] payload) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         record(bytes, kind, payload);
+        replace(name, bytes.toByteArray());
+    }
+
+    /** Writes a file aside, makes it durable and puts it in place. */
+    private void replace(String name, byte[] bytes) throws IOException {
         String aside = name + ASIDE;
         disk.delete(aside);
-        if (disk.append(aside, bytes.toByteArray()) != bytes.size()) {
+        if (disk.append(aside, bytes) != bytes.length) {
             throw new IOException(aside + ": the disk took less than it was given");
         }
         disk.sync(aside);
@@ -300,20 +306,12 @@
 
     private void roll(long number) throws IOException {
         ByteBuffer head = ByteBuffer.allocate(HEADER).putInt(MAGIC).putInt(FORMAT).putLong(number).putLong(id);
-        head.putInt(Codec.checksum(head.array(), 0, HEADER - 4));
+        head.putInt(Checksum.of(head.array(), 0, HEADER - 4));
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         bytes.writeBytes(head.array());
         // Segments before it may go one day, and must not take the ballot with them.
         record(bytes, BALLOT, Codec.ballot(ballot));
-        String name = segment(number);
-        String aside = name + ASIDE;
-        disk.delete(aside);
-        long written = disk.append(aside, bytes.toByteArray());
-        if (written != bytes.size()) {
-            throw new IOException(aside + ": the disk took less than it was given");
-        }
-        disk.sync(aside);
-        disk.rename(aside, name);
+        replace(segment(number), bytes.toByteArray());
         segments.put(number, 0L);
         size = bytes.size();
     }
@@ -376,11 +374,6 @@
         }
     }
 
-    /** How many bytes the segments hold, about. */
-    public long bytes() {
-        return (segments.size() - 1L) * SEGMENT + size;
-    }
-
     public int segmentCount() {
         return segments.size();
     }
--- a/src/main/java/rockshift/cluster/Frames.java
+++ b/src/main/java/rockshift/cluster/Frames.java
@@ -3,6 +3,8 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
+import rockshift.raft.Checksum;
 
 /**
  * What goes over a member's connections: a length, a checksum, a kind and a payload. Pieces are put together here; what is too
@@ -38,7 +40,7 @@
         body[0] = kind;
         System.arraycopy(payload, 0, body, 1, payload.length);
         return ByteBuffer.allocate(HEAD + body.length).putInt(body.length)
-                .putInt(Codec.checksum(body, 0, body.length)).put(body).array();
+                .putInt(Checksum.of(body)).put(body).array();
     }
 
     /** Adds bytes that came. */
@@ -61,9 +63,8 @@
             return null;
         }
         int length = held.getInt(held.position());
-        if (length < 1 || length > LONGEST) {
-            throw new Broken("too-long", "a frame of " + length + " bytes");
-        } else if (held.remaining() < HEAD + length) {
+        fits(length);
+        if (held.remaining() < HEAD + length) {
             return null;
         }
         held.getInt();
@@ -76,20 +77,24 @@
         return check(body, sum);
     }
 
+    private static void fits(int length) throws Broken {
+        if (length < 1 || length > LONGEST) {
+            throw new Broken("too-long", "a frame of " + length + " bytes");
+        }
+    }
+
     private static Frame check(byte[] body, int sum) throws Broken {
-        if (sum != Codec.checksum(body, 0, body.length)) {
+        if (sum != Checksum.of(body)) {
             throw new Broken("garbled", "a frame whose checksum is wrong");
         }
-        return new Frame(body[0], java.util.Arrays.copyOfRange(body, 1, body.length));
+        return new Frame(body[0], Arrays.copyOfRange(body, 1, body.length));
     }
 
     /** Waits for one frame. */
     static Frame read(DataInputStream in) throws IOException {
         int length = in.readInt();
         int sum = in.readInt();
-        if (length < 1 || length > LONGEST) {
-            throw new Broken("too-long", "a frame of " + length + " bytes");
-        }
+        fits(length);
         byte[] body = new byte[length];
         in.readFully(body);
         return check(body, sum);
--- a/src/main/java/rockshift/cluster/Links.java
+++ b/src/main/java/rockshift/cluster/Links.java
@@ -24,6 +24,7 @@
 import org.apache.hc.core5.util.Timeout;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import rockshift.operator.Section;
 
 /**
  * A member's connections: a listener of its own, and one outgoing connection to each other member. It owns the sockets and the
@@ -121,9 +122,7 @@
     }
 
     private void dial(String address, Dialled to) {
-        int colon = address.lastIndexOf(':');
-        InetSocketAddress remote = new InetSocketAddress(address.substring(0, colon),
-                Integer.parseInt(address.substring(colon + 1)));
+        InetSocketAddress remote = Section.socket(address);
         reactor.connect(new HttpHost(remote.getHostString(), remote.getPort()), remote, null,
                 Timeout.ofMilliseconds(DIAL), to, new FutureCallback<>() {
                     @Override
--- a/src/main/java/rockshift/kit/Explorer.java
+++ b/src/main/java/rockshift/kit/Explorer.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.Supplier;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 
 /** Plays many seeds of a {@link World}, side by side. */
 public final class Explorer {
@@ -11,6 +12,13 @@
 
     /** What so many seeds came to; the worlds that broke a promise, by seed. */
     public record Findings(long seeds, long steps, long changes, List<World.Result> broken) {
+        public static final Findings NONE = new Findings(0, 0, 0, List.of());
+
+        public Findings and(Findings other) {
+            return new Findings(seeds + other.seeds, steps + other.steps, changes + other.changes,
+                    Stream.concat(broken.stream(), other.broken.stream()).toList());
+        }
+
         public String line() {
             return "explore: " + seeds + " seeds, " + steps + " steps, " + broken.size() + " violations";
         }
@@ -24,7 +32,7 @@
                 results.stream().filter(result -> result.violation() != null).toList());
     }
 
-    /** Plays seeds until one breaks a promise; answers how many it took, or -1 after so many. */
+    /** Plays seeds until one breaks a promise; answers one that does, or -1 after so many. */
     public static long until(long first, long most, int members, Supplier<Plant> plant) {
         return LongStream.range(first, first + most).parallel()
                 .filter(seed -> new World(seed, members, plant.get(), false).run().violation() != null)
--- a/src/main/java/rockshift/kit/World.java
+++ b/src/main/java/rockshift/kit/World.java
@@ -10,6 +10,7 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import rockshift.cluster.Codec;
 import rockshift.cluster.DurableLog;
 import rockshift.cluster.Engine;
@@ -171,13 +172,12 @@
         if (clients.stream().noneMatch(client -> client.doneAt > TROUBLED)) {
             throw new History.Violation("progress: nothing was agreed after all faults had ended");
         }
-        for (Host host : hosts) {
-            long leader = hosts.stream().filter(other -> other.engine.raft().leads()).mapToLong(Host::id).findFirst()
-                    .orElse(0);
-            if (leader == host.id() && host.engine.raft().applied() == host.engine.raft().commit()) {
-                history.ends(host.changes);
-            }
-        }
+        leaders().findFirst().filter(host -> host.engine.raft().applied() == host.engine.raft().commit())
+                .ifPresent(host -> history.ends(host.changes));
+    }
+
+    private Stream<Host> leaders() {
+        return hosts.stream().filter(host -> host.engine != null && host.engine.raft().leads());
     }
 
     // ---- faults ---------------------------------------------------------------------------------
@@ -190,7 +190,7 @@
         if (theme == Theme.READS && chance.nextInt(10) > 0) {
             disturbReaders();
         } else if (theme == Theme.LEADERS && chance.nextInt(4) > 0) {
-            hosts.stream().filter(other -> other.engine != null && other.engine.raft().leads()).forEach(Host::crash);
+            leaders().forEach(Host::crash);
         } else {
             anyFault();
         }
@@ -219,7 +219,7 @@
     }
 
     private void handOver(int to) {
-        hosts.stream().filter(other -> other.engine != null && other.engine.raft().leads()).findAny().ifPresent(leader -> {
+        leaders().findAny().ifPresent(leader -> {
             tell("n%d is asked to hand over to n%d", leader.place, to);
             leader.engine.transfer(0, hosts.get(to).id());
             leader.run();
@@ -232,8 +232,7 @@
             case 0, 1 -> host.crash();
             case 2 -> {
                 // A leader more often than any.
-                hosts.stream().filter(other -> other.engine != null && other.engine.raft().leads()).findFirst()
-                        .ifPresent(Host::crash);
+                leaders().findFirst().ifPresent(Host::crash);
             }
             case 3, 4 -> split();
             case 5 -> {
@@ -284,8 +283,7 @@
 
     /** A leader is left with one other, and staff ask it to do without the rest. */
     private void removeBehindCut() {
-        Host leader = hosts.stream().filter(host -> host.engine != null && host.engine.raft().leads()).findAny()
-                .orElse(hosts.get(0));
+        Host leader = leaders().findAny().orElse(hosts.get(0));
         Host other = hosts.get((leader.place + 1) % hosts.size());
         for (int i = 0; i < hosts.size(); i++) {
             boolean inside = i == leader.place || i == other.place;
@@ -317,7 +315,7 @@
 
     /** Staff change members: whoever leads removes, adds, takes a vote away, or hands over. */
     private void members(Host host) {
-        hosts.stream().filter(other -> other.engine != null && other.engine.raft().leads()).findAny().ifPresent(leader -> {
+        leaders().findAny().ifPresent(leader -> {
             Raft raft = leader.engine.raft();
             Member stale = raft.members().all().stream().filter(member -> hosts.stream()
                     .noneMatch(other -> other.id() == member.id())).findFirst().orElse(null);
--- a/src/main/java/rockshift/operator/Section.java
+++ b/src/main/java/rockshift/operator/Section.java
@@ -140,15 +140,24 @@
 
     public InetSocketAddress address(String field, String otherwise) throws Unusable {
         String value = text(field, otherwise);
-        int colon = value.lastIndexOf(':');
+        try {
+            return socket(value);
+        } catch (IllegalArgumentException wrong) {
+            throw wrong(field, "must be " + wrong.getMessage());
+        }
+    }
+
+    /** An address told as HOST:PORT. */
+    public static InetSocketAddress socket(String text) {
+        int colon = text.lastIndexOf(':');
         try {
             if (colon > 0) {
-                return new InetSocketAddress(value.substring(0, colon), Integer.parseInt(value.substring(colon + 1)));
+                return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
             }
         } catch (IllegalArgumentException wrong) {
-            // Told below.
+            // Told below, in words that fit both.
         }
-        throw wrong(field, "must be an address with its port, not '" + value + "'");
+        throw new IllegalArgumentException("an address with its port, not '" + text + "'");
     }
 
     /** A block within; null if it is not there. */
--- a/src/main/java/rockshift/raft/Progress.java
+++ b/src/main/java/rockshift/raft/Progress.java
@@ -18,8 +18,9 @@
     /** The newest round that it answered, and when that was begun. */
     long round;
     long sentAt = Long.MIN_VALUE;
-    /** While a snapshot is sent: which one, up to where it is held, when a piece was sent last. */
+    /** While a snapshot is sent: which one and its checksum, up to where it is held, when a piece was sent last. */
     Snapshot sending;
+    int checksum;
     int offset;
     long pieceAt;
     final ClockWatch clock = new ClockWatch();
@@ -52,10 +53,11 @@
         next = Math.max(next, match + 1);
     }
 
-    void snapshot(Snapshot snapshot) {
+    void snapshot(Snapshot snapshot, int sum) {
         way = Way.SNAPSHOT;
         flight.clear();
         sending = snapshot;
+        checksum = sum;
         offset = 0;
         pieceAt = Long.MIN_VALUE;
     }
--- a/src/main/java/rockshift/raft/Raft.java
+++ b/src/main/java/rockshift/raft/Raft.java
@@ -4,7 +4,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -13,7 +12,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
-import java.util.zip.CRC32C;
 
 /**
  * One member's part in the protocol. The host calls an input method for each thing that happens, then {@link #decide}
@@ -51,7 +49,7 @@
 
     /** Where a member stands, for staff and for checks. */
     public record Standing(Role role, long term, long leader, long commit, long applied, long saved, long first,
-            long last, Membership members, Map<Long, Long> matches, boolean leased, long heardAt) { }
+            long last, Membership members, Map<Long, Long> matches, boolean leased) { }
 
     // ---- state ----------------------------------------------------------------------------------
     private final long id;
@@ -187,7 +185,7 @@
         Map<Long, Long> matches = new TreeMap<>();
         followers.forEach((member, progress) -> matches.put(member, progress.match));
         return new Standing(role, ballot.term(), leader(), commit, applied, saved, log.base() + 1, log.last(), members(),
-                matches, leaseHolds(), heardAt);
+                matches, leaseHolds());
     }
 
     // ---- inputs ---------------------------------------------------------------------------------
@@ -272,7 +270,7 @@
         return log.bytes() * (log.last() - commit) / Math.max(1, log.last() - log.base());
     }
 
-    /** Adds a member, changes what it does, or removes it (a null role). */
+    /** Adds a member, changes what it does, or removes it. */
     public Refusal change(Member member, boolean remove) {
         Membership before = members();
         Membership after = remove ? before.without(member.id()) : before.with(member);
@@ -580,7 +578,7 @@
         byte[] data = came.toByteArray();
         coming = null;
         came = new ByteArrayOutputStream();
-        if (checksum(data) != piece.checksum()) {
+        if (Checksum.of(data) != piece.checksum()) {
             notes.add("snapshot of entry " + piece.index() + " came corrupt from " + name(piece.from()) + ", asked anew");
             post(taken(piece, 0), 0);
             return;
@@ -610,12 +608,6 @@
         dirty = true;
     }
 
-    private static int checksum(byte[] data) {
-        CRC32C sum = new CRC32C();
-        sum.update(data, 0, data.length);
-        return (int) sum.getValue();
-    }
-
     // ---- the leader -----------------------------------------------------------------------------
 
     private long add(Entry entry) {
@@ -654,7 +646,7 @@
         while (progress.way == Progress.Way.REPLICATE ? progress.next <= log.last() && progress.flight.size() < FLIGHT
                 : !progress.probing) {
             if (progress.next <= log.base()) {
-                progress.snapshot(snapshot);
+                progress.snapshot(snapshot, Checksum.of(snapshot.data()));
                 return piece(progress);
             }
             List<Entry> entries = progress.next > log.last() ? List.of()
@@ -690,7 +682,7 @@
         int end = Math.min(sent.data().length, progress.offset + PIECE);
         progress.pieceAt = now;
         post(new Message.Piece(id, progress.id, ballot.term(), sent.index(), sent.term(), sent.members(),
-                sent.data().length, checksum(sent.data()), progress.offset,
+                sent.data().length, progress.checksum, progress.offset,
                 Arrays.copyOfRange(sent.data(), progress.offset, end), round, roundAt), 0);
         return true;
     }
@@ -842,7 +834,8 @@
         if (!notes.isEmpty()) {
             effects.log(notes.remove());
         } else if (role == Role.LEADER && (!reads.isEmpty() && reads.getLast().round > round || tellFrom <= commit
-                && confirmedIdle())) {
+                && commit == log.last())) {
+            // Followers hear at once of what was agreed, where nothing is on the way that would tell them later.
             speak();
         } else if (role == Role.LEADER && sendAll()) {
             return true;
@@ -867,11 +860,6 @@
         return true;
     }
 
-    /** Followers hear at once of what was agreed, where nothing is on the way that would tell them later. */
-    private boolean confirmedIdle() {
-        return commit == log.last();
-    }
-
     private boolean sendAll() {
         boolean any = false;
         for (Progress progress : followers.values()) {
@@ -926,8 +914,7 @@
         for (long i = log.base(); i <= log.last(); i++) {
             text.append(' ').append(log.term(i));
         }
-        Collection<Progress> all = followers.values();
-        all.forEach(p -> text.append(p.id).append(p.way).append(p.match).append(',').append(p.next).append(p.flight)
+        followers.values().forEach(p -> text.append(p.id).append(p.way).append(p.match).append(',').append(p.next).append(p.flight)
                 .append(p.probing));
         return text.toString();
     }
