Withdrawals are counted proxy by proxy, bounded, and sent only where tables come too late

Ruled out: joins (each turn's lines are the queue's growth), slow channel (marks came in time). At fault: Logic.withdraw told every waiting proxy of every replica that left, again each half second as others joined, and guessed lines/replicas of a line for each, where Tables writes one for each, for all who wait. Removals then stood behind joins up to half the limit (1.1 s) and were held at 0.6 of it, and a place with one proxy near its cap of messages held all its drains.

Now Orders.withdraw names the proxy and answers the lines; a stream is told once; who is laid within half the grace is told nothing. What can be put off takes a fifth of the grace of the channel, and removals space out what is left of the cap.

--- a/src/main/java/rockshift/Channel.java
+++ b/src/main/java/rockshift/Channel.java
@@ -17,9 +17,9 @@
     private long at;
     private int serial;
 
-    Channel(double head, double linesPerSecond, long now) {
+    Channel(double head, double pace, long now) {
         this.head = head;
-        pace = linesPerSecond / 10_000;
+        this.pace = pace;
         at = now;
     }
 
@@ -35,11 +35,6 @@
         unanswered += all;
     }
 
-    /** Counts lines whose receivers are not known. */
-    void guess(double lines) {
-        queued += lines;
-    }
-
     /** Closes the turn's messages under one number; false where there is none. */
     boolean mark(Orders orders, long now) {
         if (written.isEmpty()) {
--- a/src/main/java/rockshift/Known.java
+++ b/src/main/java/rockshift/Known.java
@@ -29,7 +29,8 @@
     /** A replica in a table changed; proxies joined. */
     boolean urgent = true;
     boolean unsettled;
-    long joinedAt;
+    /** When a replica last left, as the list or staff have it. */
+    long lostAt = Long.MIN_VALUE / 2;
     /** By class, what came; the tries seen; and the time that both and answers cover. */
     final double[] came;
     double tried;
@@ -82,6 +83,7 @@
         if (health != replica.health || !also.isEmpty()) {
             urgent |= replica.inTables();
             replica.changed = now;
+            lostAt = health == Listed.Health.READY ? lostAt : now;
             replica.health = health;
             notes.add("replica " + replica.id + " " + health + also);
         }
@@ -119,7 +121,7 @@
         Proxy proxy = new Proxy(number, Math.max(0, zones.indexOf(zone)), rate);
         proxies.put(number, proxy);
         waiting.put(number, proxy);
-        joinedAt = now;
+        proxy.joinedAt = now;
         unsettled = true;
     }
 
--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -31,9 +31,12 @@
     private static final double CHANNEL_PART = 0.5;
     /** Share of the result that changed weights may cost in orders: what all else that is ordered leaves. */
     private static final double CHANGES_WORTH = 0.03;
-    /** Shares of the message limit left to ordinary batches and to all but joins. */
+    /** Share of the message limit left to what can be put off; drains space out the rest. */
     private static final double MESSAGE_PART = 0.6;
-    private static final double MOST_MESSAGES = 0.8;
+    /** Share of the drains' grace that what can be put off may take of the channel: a drain waits behind it. */
+    private static final double PUT_OFF = 0.2;
+    /** Share of the grace after which those who wait count as laid too late: half is for a slower channel. */
+    private static final double IN_TIME = 0.5;
     /** Tenths of a ms: memory of the capacity estimates (the design starts at 10 s). */
     private static final double CAPACITY_MEMORY = 80_000;
     /** Answers: a replica heard of less leans on the mean of its kind. */
@@ -125,6 +128,8 @@
     private final boolean[] homebound;
     private final double head;
     private final double limit;
+    private final double pace;
+    private final double grace;
     private final double coldShare;
     private final double warmAfter;
     private final Channel channel;
@@ -147,6 +152,7 @@
     private double fleetLoad;
     private double medianFailures;
     private long pausedUntil;
+    private long warnedAt;
 
     /** Work that falls due: the next batch, or the end of a shunned replica's rest in one view. */
     private record Due(long at, boolean batch, long replica, boolean far) { }
@@ -160,7 +166,9 @@
         }
         head = number("message.head", 0);
         limit = number("channel.limit", Double.MAX_VALUE);
-        channel = new Channel(head, number("channel.pace", Double.MAX_VALUE), now);
+        pace = number("channel.pace", Double.MAX_VALUE) / 10_000;
+        grace = number("drain.grace", Double.POSITIVE_INFINITY);
+        channel = new Channel(head, pace, now);
         coldShare = number("cold.share", 0.1);
         warmAfter = number("warm.after", 300_000);
         level = new double[classes];
@@ -189,7 +197,7 @@
         } else if (due.at <= now) {
             dues.pollFirst();
             giveBack(replicas.get(due.replica), due.far);
-        } else if (!join(orders) && !withdraw(orders)) {
+        } else if (!withdraw(orders) && !join(orders)) {
             return channel.mark(orders, now);
         }
         return true;
@@ -217,15 +225,13 @@
 
     /** Lays the tables of its place under the proxy that waits longest and has some; none without a line. */
     private boolean join(Orders orders) {
+        double most = number("messages.limit", 0);
         for (Proxy proxy : waiting.values()) {
             Place place = proxy.place;
-            long filled = place == null || !place.laid ? 0 : place.requests.stream()
-                    .flatMap(request -> request.paths.values().stream())
-                    .filter(path -> path.published > 0).count();
-            double cost = filled + 2 * classes;
-            if (filled == 0 || reach == Reach.HOLD) {
+            double cost = laying(place);
+            if (cost == Double.MAX_VALUE || most > 0 && proxy.messages.size() >= most) {
                 continue;
-            } else if (queue() + cost + head + 1 > limit * CHANNEL_PART) {
+            } else if (queue() > putOff() || queue() + cost + head + 1 > limit * CHANNEL_PART) {
                 return false;
             }
             for (Request request : place.requests) {
@@ -240,26 +246,63 @@
         return false;
     }
 
+    /** Lines beside the head and the mark that laying the tables of a place comes to; too many for none. */
+    private double laying(Place place) {
+        long filled = place == null || !place.laid || reach == Reach.HOLD ? 0 : place.requests.stream()
+                .flatMap(request -> request.paths.values().stream())
+                .filter(path -> path.published > 0).count();
+        return filled == 0 ? Double.MAX_VALUE : filled + 2 * classes;
+    }
+
     /**
-     * Guards drains where the channel leaves proxies waiting with what they came with: a replica that leaves
-     * is shut out there too, and again for those who joined since. It is let in again when none waits, so
-     * that no cold one meets old weights; that loses some of its work where it warmed meanwhile.
+     * Guards drains where the channel leaves proxies waiting with what they came with: who would be laid too
+     * late is told to keep off all who left, where that is less to send than its tables. They are let in
+     * again when none waits, so that no cold one meets old weights; that loses some of their work.
      */
     private boolean withdraw(Orders orders) {
-        for (Replica replica : replicas.values()) {
-            boolean out = !replica.usable() && !waiting.isEmpty() && now >= replica.withdrawnAt + GATHER / 2
-                    && (!replica.withdrawn || joinedAt > replica.withdrawnAt);
-            boolean in = replica.usable() && replica.withdrawn && waiting.isEmpty();
-            if (out && reach != Reach.HOLD || in && reach == Reach.FULL) {
-                replica.withdrawn = out;
-                replica.withdrawnAt = now;
-                orders.withdraw(replica.id, out);
-                double holding = (out ? waiting : proxies).size() * Math.min(1, lines / replicas.size());
-                channel.guess(holding * (head + 1));
-                return true;
+        if (waiting.isEmpty()) {
+            Replica back = reach != Reach.FULL ? null : replicas.values().stream()
+                    .filter(replica -> replica.usable() && replica.withdrawn).findFirst().orElse(null);
+            if (back != null) {
+                back.withdrawn = false;
+                proxies.values().forEach(proxy -> tell(orders, proxy, List.of(back), false));
+            }
+            return back != null;
+        }
+        // Once a turn: what has changed since is told in the next one.
+        if (warnedAt == now || reach == Reach.HOLD) {
+            return false;
+        }
+        warnedAt = now;
+        List<Replica> out = replicas.values().stream().filter(replica -> !replica.usable()).toList();
+        double most = number("messages.limit", 0);
+        double way = number("transit.longest", 0);
+        double ahead = queue();
+        boolean told = false;
+        for (Proxy proxy : waiting.values()) {
+            double cost = laying(proxy.place);
+            ahead += cost + head + 1;
+            boolean late = now - Math.max(proxy.joinedAt, proxy.warnedAt) + ahead / pace + way > IN_TIME * grace;
+            if (late && proxy.warnedAt < lostAt && out.size() < cost
+                    && queue() + out.size() + head + 1 <= limit * PRESSING_PART
+                    && (most == 0 || proxy.messages.size() < most)) {
+                proxy.warnedAt = now;
+                tell(orders, proxy, out, true);
+                told = true;
             }
         }
-        return false;
+        return told;
+    }
+
+    private void tell(Orders orders, Proxy proxy, List<Replica> about, boolean out) {
+        int cost = 0;
+        for (Replica replica : about) {
+            replica.withdrawn = out;
+            cost += orders.withdraw(replica.id, out, proxy.number);
+        }
+        if (cost > 0) {
+            channel.post(proxy, cost, now);
+        }
     }
 
     /** Judges, solves and sends the differences, those of drains first. */
@@ -292,6 +335,7 @@
         boolean bound = IntStream.range(0, classes).anyMatch(k -> homebound[k]);
         replicas.values().forEach(replica -> replica.keptOut =
                 replica.started <= asked.getOrDefault(replica.id, Long.MIN_VALUE));
+        lostAt = asked.isEmpty() ? lostAt : now;
         List<Replica> left = replicas.values().stream().filter(Replica::usable).toList();
         for (Replica replica : replicas.values()) {
             replica.keptOut = replica.keptOut
@@ -703,16 +747,20 @@
     private record Change(Request request, Path path, double to, double size) { }
 
     private void publish(Orders orders, boolean gathered) {
-        double most = Math.floor(number("messages.limit", 0) * (gathered ? MESSAGE_PART : MOST_MESSAGES));
-        double expired = now - number("messages.span", 0);
+        double cap = number("messages.limit", 0);
+        double most = Math.floor(cap * MESSAGE_PART);
+        double span = number("messages.span", 0);
         double room = limit * PRESSING_PART - queue();
-        double ordinary = room - limit * (PRESSING_PART - CHANNEL_PART);
+        double ordinary = putOff() - queue();
         double share = Math.min(CHANNEL_PART, CHANGES_WORTH / number("price.orders", 0));
-        double weights = gathered ? share * number("channel.pace", Double.MAX_VALUE) : 0;
+        double weights = gathered ? share * pace * 10_000 : 0;
         for (Proxy proxy : proxies.values()) {
-            proxy.messages.removeIf(at -> at <= expired);
-            if (proxy.bound) {
-                proxy.place.full |= most > 0 && proxy.messages.size() >= most;
+            proxy.messages.removeIf(at -> at <= now - span);
+            if (proxy.bound && cap > 0 && proxy.messages.size() >= most) {
+                // Drains that come without end get what is left one by one: none waits for a whole span.
+                proxy.place.full = true;
+                proxy.place.barred |= proxy.messages.size() >= cap
+                        || now - proxy.messages.getLast() < span / (cap - most);
             }
         }
         // Cut off from the others, it takes out what left the list, and lays lines where a table has none.
@@ -729,7 +777,7 @@
             double old = change.path == null ? 0 : change.path.published;
             boolean guard = change.to < old && (change.to == 0 || warmth(change.path.link) < 1);
             double left = guard ? room : old > 0 ? Math.min(weights, ordinary) : ordinary;
-            if (place.bound > 0 && place.full || cost > left) {
+            if (place.bound > 0 && (guard ? place.barred : place.full) || cost > left) {
                 held |= guard;
                 continue;
             }
@@ -816,6 +864,12 @@
         request.scale = request.place.bound > 0 && targets > 0 ? standing / targets : 1;
     }
 
+    /** Lines that may wait at most before what can be put off: one message to each proxy goes in any case. */
+    private double putOff() {
+        double usual = Math.max(PUT_OFF * grace * pace, proxies.size() * (head + 2));
+        return Math.min(limit * CHANNEL_PART, usual);
+    }
+
     private double queue() {
         return channel.queue(now, number("transit", 0), REMEMBERED, proxies.values());
     }
--- a/src/main/java/rockshift/Orders.java
+++ b/src/main/java/rockshift/Orders.java
@@ -5,8 +5,12 @@
     /** Sets one line of a table; weight 0 removes it. Answers how many lines each bound proxy is sent. */
     int line(int table, long replica, double weight);
 
-    /** Shuts a replica out of everything that joined proxies hold, or lets it in again. */
-    void withdraw(long replica, boolean out);
+    /**
+     * Shuts a replica out of everything that a joined proxy holds, or lets it in again. Answers how many lines
+     * the proxy is sent for it: none where it was told so before. A host that can tell all proxies at once only
+     * answers for each as it is named.
+     */
+    int withdraw(long replica, boolean out, int proxy);
 
     /**
      * Puts a joined proxy on a table for the classes whose bits are set (0: all of them). Answers how many
--- a/src/main/java/rockshift/Place.java
+++ b/src/main/java/rockshift/Place.java
@@ -16,9 +16,10 @@
     int bound;
     /** Whether the tables are in use and up to the last batch. */
     boolean laid;
-    // While a batch is published: lines so far, and whether a proxy may get no more messages.
+    // While a batch is published: lines so far, and whether a proxy may get no more messages, or none now.
     double sent;
     boolean full;
+    boolean barred;
 
     Place(int number, String zone, int classes) {
         this.number = number;
@@ -55,7 +56,7 @@
     void published(Orders orders) {
         laid = joined > 0;
         sent = 0;
-        full = false;
+        full = barred = false;
         if (!laid) {
             requests.stream().flatMap(request -> request.paths.values().stream())
                     .filter(path -> path.published > 0).forEach(path -> {
--- a/src/main/java/rockshift/Proxy.java
+++ b/src/main/java/rockshift/Proxy.java
@@ -10,6 +10,9 @@
     final double[] rate;
     final double[] came;
     final double[] span;
+    long joinedAt;
+    /** When it was last told to keep off all who left. */
+    long warnedAt = Long.MIN_VALUE / 2;
     /** Times of the messages that count against the limit. */
     final ArrayDeque<Long> messages = new ArrayDeque<>();
     /** Marks without an answer: serial, time, lines. */
--- a/src/main/java/rockshift/Replica.java
+++ b/src/main/java/rockshift/Replica.java
@@ -13,9 +13,8 @@
     long changed;
     /** Whether staff asked that it take nothing new, and the fleet can spare it. */
     boolean keptOut;
-    /** Whether proxies were told to keep off whatever their tables say, and when they last were. */
+    /** Whether a proxy was told to keep off whatever its tables say. */
     boolean withdrawn;
-    long withdrawnAt = Long.MIN_VALUE / 2;
     // Evidence, faded: for the capacity, then for the health.
     double answered;
     double busySum;
--- a/src/main/java/rockshift/drill/Drill.java
+++ b/src/main/java/rockshift/drill/Drill.java
@@ -6,6 +6,8 @@
 import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -18,6 +20,8 @@
 /** Hosts instances of the module on the simulator's wire: one reply for each batch of events. */
 public final class Drill {
     private final Map<Integer, Logic> instances = new LinkedHashMap<>();
+    /** By governor and replica, the proxies that were told to keep off it. */
+    private final Map<Integer, Map<Long, Set<Integer>>> masked = new LinkedHashMap<>();
     private final Map<Integer, List<Listed>> sheets = new LinkedHashMap<>();
     private final StringBuilder reply = new StringBuilder();
     private final BufferedReader input;
@@ -107,6 +111,7 @@
             long seed = event.whole("a seed");
             Map<String, String> terms = event.terms();
             instances.put(governor, new Logic(now, seed, terms));
+            masked.put(governor, new HashMap<>());
             if (terms.getOrDefault("list.feed", "").equals("subscribe")) {
                 subscribe(governor);
             }
@@ -139,7 +144,11 @@
                 String zone = event.text("a zone");
                 logic.joined(now, event.small("a proxy"), zone, event.number("its size"));
             }
-            case "LEFT" -> logic.left(now, event.small("a proxy"));
+            case "LEFT" -> {
+                int proxy = event.small("a proxy");
+                logic.left(now, proxy);
+                masked.get(governor).values().forEach(told -> told.remove(proxy));
+            }
             case "HEARD" -> {
                 long took = event.tenths("a mean time");
                 String zone = event.text("a zone");
@@ -175,6 +184,7 @@
     /** Writes the module's orders as lines of the reply. */
     private final class Writer implements Orders {
         private final int governor;
+        private final Set<Long> written = new HashSet<>();
 
         Writer(int governor) {
             this.governor = governor;
@@ -191,8 +201,14 @@
         }
 
         @Override
-        public void withdraw(long replica, boolean out) {
-            start("MASK").append(replica).append(out ? " 1\n" : " 0\n");
+        public int withdraw(long replica, boolean out, int proxy) {
+            Set<Integer> told = masked.get(governor).computeIfAbsent(replica, absent -> new HashSet<>());
+            boolean changes = out ? told.add(proxy) : told.remove(proxy);
+            // One line of the wire reaches all who are joined.
+            if (changes && written.add(replica)) {
+                start("MASK").append(replica).append(out ? " 1\n" : " 0\n");
+            }
+            return changes ? 1 : 0;
         }
 
         @Override
--- a/src/main/java/rockshift/net/Tables.java
+++ b/src/main/java/rockshift/net/Tables.java
@@ -48,6 +48,8 @@
         /** Tables, with the classes that they are for; those bound in this turn. */
         final TreeMap<Integer, Integer> bound = new TreeMap<>();
         final Set<Integer> fresh = new TreeSet<>();
+        /** What the proxy was told on this stream: whether a replica is shut out. */
+        final Map<Long, Boolean> told = new HashMap<>();
         /** Replicas that this turn shuts out or lets back. */
         final Set<Long> out = new TreeSet<>();
         final Set<Long> back = new TreeSet<>();
@@ -58,6 +60,10 @@
 
         /** Whether the message grows by telling the proxy if it may send to a replica. */
         boolean tell(long replica, boolean shut) {
+            Boolean before = told.put(replica, shut);
+            if (before != null && before == shut) {
+                return false;
+            }
             (shut ? back : out).remove(replica);
             return (shut ? out : back).add(replica);
         }
@@ -143,19 +149,15 @@
     }
 
     @Override
-    public void withdraw(long replica, boolean out) {
+    public int withdraw(long replica, boolean out, int proxy) {
         if (out) {
             withdrawn.add(replica);
         } else {
             withdrawn.remove(replica);
         }
-        seats.forEach((proxy, seat) -> {
-            boolean holds = seat.bound.isEmpty() || seat.bound.keySet().stream()
-                    .anyMatch(table -> tables.get(table).lines.containsKey(replica));
-            if (out ? holds : shut.getOrDefault(proxy, Set.of()).contains(replica)) {
-                seat.tell(replica, out);
-            }
-        });
+        Seat seat = seats.get(proxy);
+        boolean concerned = seat != null && (out || shut.getOrDefault(proxy, Set.of()).contains(replica));
+        return concerned && seat.tell(replica, out) ? 1 : 0;
     }
 
     @Override
@@ -182,6 +184,7 @@
         names.remove(replica);
         withdrawn.remove(replica);
         shut.values().forEach(kept -> kept.remove(replica));
+        seats.values().forEach(seat -> seat.told.remove(replica));
     }
 
     /** The module knows replicas by number; the staff know them by name. */
