Capacity, demand and the calm rate follow who is joined, not who was when reports were made

At fault: Logic.estimate and setLevels take a capacity by this governor's share of all work, remembered 8 s, against demand remembered 4 s; with four times the proxies that share is four times as large at once. Both now go by what joined proxies usually get over its mean for as long as each remembers and reports lag (two periods, by the terms). The cold stay guarded by the old reckoning.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -151,6 +151,12 @@
     private double expected;
     private double fleetRate;
     private double steadyRate;
+    /** What joined proxies usually get; its means over what capacities and flows remember; what they lag behind by. */
+    private double usual;
+    private double usualThen;
+    private double usualFlow;
+    private double grown = 1;
+    private double grownFlow = 1;
     private double fleetLoad;
     private double medianFailures;
     private long pausedUntil;
@@ -422,6 +428,17 @@
         double capacityKept = Math.exp((fadedAt - now) / CAPACITY_MEMORY);
         double healthKept = Math.exp((fadedAt - now) / HEALTH_MEMORY);
         double flowKept = Math.exp((fadedAt - now) / FLOW_MEMORY);
+        // Reports tell of a time when others were joined. When governors die, the last one soon has all their
+        // proxies, and its estimates would stay at its old part of the fleet for as long as they remember.
+        // Two report periods pass until new proxies are in them. Could mistake a proxy that gets far from its usual.
+        double lag = 2 * number("report.period", 0);
+        double thenKept = heardTime > 0 ? Math.exp((fadedAt - now) / (CAPACITY_MEMORY + lag)) : 0;
+        double flowThenKept = heardTime > 0 ? Math.exp((fadedAt - now) / (FLOW_MEMORY + lag)) : 0;
+        usualThen = usualThen * thenKept + usual * (1 - thenKept);
+        usualFlow = usualFlow * flowThenKept + usual * (1 - flowThenKept);
+        usual = proxies.values().stream().mapToDouble(proxy -> proxy.usualRate).sum();
+        grown = usual > 0 && usualThen > 0 ? usual / usualThen : 1;
+        grownFlow = usual > 0 && usualFlow > 0 ? usual / usualFlow : 1;
         fadedAt = now;
         for (Replica replica : replicas.values()) {
             // What a cold replica answers tells nothing of what it will when it is warm.
@@ -537,12 +554,13 @@
                 busy += replica.capacity * busy(replica);
             }
         }
-        fleetRate = heardTime > 0 ? reach / heardTime : 0;
+        double rate = heardTime > 0 ? reach / heardTime : 0;
+        fleetRate = grown * rate;
         fleetLoad = reach > 0 ? busy / reach : 0;
         // Guards a cold replica when all try far more than the fleet can do, or much of it is cold; could
         // hold a new one back after a storm. Proxies just joined count by what they usually get.
         double asked = Math.max(expected, flowTime > 0 ? tried / flowTime : 0);
-        double strain = fleetRate > 0 ? asked / fleetRate : 0;
+        double strain = rate > 0 ? asked / rate : 0;
         double bearable = COLD_PART * number("fall.multiple", 1);
         for (Replica replica : links) {
             replica.capacity *= warmth(replica) < 1 && strain > bearable ? bearable / strain : 1;
@@ -620,16 +638,17 @@
         double demand = 0;
         double benefits = 0;
         for (int k = 0; k < classes; k++) {
-            each[k] = came[k] / (calm ? flowSpan : flowTime) / (1 + repeats * (1 - letIn[k]));
+            each[k] = grownFlow * came[k] / (calm ? flowSpan : flowTime) / (1 + repeats * (1 - letIn[k]));
             demand += each[k];
             benefits += each[k] * number("class." + k + ".benefit", 1);
         }
         // In a jam answers fall though the capacity is there, and refusing by them would refuse nearly all:
-        // the rate of calmer times holds the room up. Too high where much capacity is really lost.
+        // the rate of calmer times, by what proxies usually get, holds the room up. Too high where much
+        // capacity is really lost.
         double step = steadyRate == 0 ? 1 : medianFailures < CALM ? STEADY_STEP : 0;
-        steadyRate += step * (fleetRate - steadyRate);
+        steadyRate += step * (fleetRate / Math.max(usual, Double.MIN_NORMAL) - steadyRate);
         double able = calm ? fleetRate * heardTime / heardSpan : fleetRate;
-        double room = FULL * Math.max(able, JAM_PART * steadyRate);
+        double room = FULL * Math.max(able, JAM_PART * steadyRate * usual);
         // In a full jam servers work on what nobody waits for any more, whatever is still let in. Letting in
         // next to nothing until the oldest has timed out frees them at once; costs that time if it is wrong.
         if (medianFailures > JAMMED && fleetLoad > OVERWORKED && now > pausedUntil + AFTER_PAUSE) {
--- a/src/main/java/rockshift/Proxy.java
+++ b/src/main/java/rockshift/Proxy.java
@@ -1,11 +1,13 @@
 package rockshift;
 
 import java.util.ArrayDeque;
+import java.util.Arrays;
 
 /** A joined proxy: what comes to it, and what it was sent. */
 final class Proxy {
     final int number;
     final int zone;
+    final double usualRate;
     /** By class: transactions a second, and what was reported since that was last reckoned. */
     final double[] rate;
     final double[] came;
@@ -28,6 +30,7 @@
         this.number = number;
         this.zone = zone;
         this.rate = rate;
+        usualRate = Arrays.stream(rate).sum();
         came = new double[rate.length];
         span = new double[rate.length];
     }
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -537,6 +537,27 @@
         assertThat(host.levels.get(0)).isEqualTo(1);
     }
 
+    /**
+     * herd+mass: four of five governors died, and the fifth reckoned the capacity of a fleet that did no less than before
+     * by its quarter of it, as its memory told: half of all was refused for fifteen seconds, and came again.
+     */
+    @Test
+    void whoGetsTheProxiesOfOthersLetsInWhatTheyBring() {
+        FakeHost host = new FakeHost().crowd(4, 2, 10);
+        Report[] quarter = {good(1, 5, 0.7), good(2, 5, 0.7), good(3, 5, 0.7), good(4, 5, 0.7)};
+        Report[] whole = {good(1, 20, 0.7), good(2, 20, 0.7), good(3, 20, 0.7), good(4, 20, 0.7)};
+        for (int i = 0; i < 20; i++) {
+            host.second(quarter);
+        }
+        for (int proxy = 2; proxy < 8; proxy++) {
+            host.join(proxy, proxy % 2 == 0 ? "east" : "west", 10);
+        }
+        host.second(quarter);
+        for (int i = 0; i < 8; i++) {
+            assertThat(host.second(whole).levels.getOrDefault(0, 1.0)).as("second " + i).isGreaterThan(0.9);
+        }
+    }
+
     @Test
     void theLesserBenefitIsRefusedFirst() {
         FakeHost host = new FakeHost("classes", "2", "class.1.name", "pay", "class.1.benefit", "4").fleet(2);
