Only replicas that may have been shut out are let back with a line; new lines ride along

Governors shut out only who leaves the list, and Tables hears the list: who was always ready, and has not started anew since before it was first seen, needs no telling. Where governors agree, staff may keep any out, so all are told as before.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -789,12 +789,14 @@
         for (Change change : changes()) {
             // What left the list comes out, and a table without a line gets one: at once, and also cut off
             // from the others. All else but a restarted replica's cut is gathered: in a release it would fill
-            // the channel by handfuls, each with its heads. What nobody is bound to costs nothing.
+            // the channel by handfuls, each with its heads. New lines ride along where a message goes anyway.
+            // What nobody is bound to costs nothing.
             Place place = change.request.place;
             boolean owed = change.path != null && (change.to == 0 || bare.contains(change.request));
             double old = change.path == null ? 0 : change.path.published;
             boolean guard = owed || change.to < old && warmth(change.path.link) < 1;
-            boolean atOnce = owed || guard && 2 * change.to < old || place.bound == 0;
+            boolean atOnce = owed || guard && 2 * change.to < old || place.bound == 0
+                    || place.sent > 0 && old == 0 && change.path != null;
             if (reach == Reach.HOLD || reach == Reach.WITHDRAW && !owed || !gathered && !atOnce) {
                 continue;
             }
--- a/src/main/java/rockshift/net/Tables.java
+++ b/src/main/java/rockshift/net/Tables.java
@@ -16,6 +16,7 @@
 import java.util.regex.Pattern;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import rockshift.Listed;
 import rockshift.Orders;
 
 /**
@@ -76,6 +77,9 @@
     private final Map<Integer, Table> tables = new HashMap<>();
     private final TreeMap<Integer, Seat> seats = new TreeMap<>();
     private final Set<Long> withdrawn = new TreeSet<>();
+    /** Replicas that some governor may have shut out of a proxy before: only these need letting back. */
+    private final Set<Long> suspect = new TreeSet<>();
+    private boolean allSuspect;
     /** By proxy: what it was told to keep off. It keeps that across its streams. */
     private final Map<Integer, Set<Long>> shut = new HashMap<>();
     private int serial;
@@ -85,9 +89,29 @@
         this.waker = waker;
     }
 
-    /** What listed replicas are called, before the module may name them. */
-    void named(Map<Long, String> listed) {
-        names.putAll(listed);
+    /**
+     * What listed replicas are called, before the module may name them. Governors shut out who is listed as
+     * leaving. A replica that was never seen so, and has not started anew since before it was first seen, is
+     * held against by no proxy: a third of what a join comes to would tell of such ones.
+     */
+    void listed(List<Listed> entries, boolean changes, Map<Long, String> called) {
+        for (Listed entry : entries) {
+            boolean before = !changes || names.containsKey(entry.replica());
+            if (entry.health() != Listed.Health.READY || entry.started() > 0 && before) {
+                suspect.add(entry.replica());
+            }
+        }
+        names.putAll(called);
+    }
+
+    /** Staff keep replicas out that are listed as ready: any may be shut out. */
+    void agreed() {
+        allSuspect = true;
+    }
+
+    /** Whether a proxy that gets a line must be told if it may send there, and the message grows by that. */
+    private boolean tell(Seat seat, long replica) {
+        return (allSuspect || suspect.contains(replica)) && seat.tell(replica, withdrawn.contains(replica));
     }
 
     /** A proxy is there under a new stream, which holds whatever the proxy held. */
@@ -123,7 +147,7 @@
         boolean told = false;
         for (Seat seat : seats.values()) {
             if (enters && seat.bound.containsKey(table)) {
-                told |= seat.tell(replica, withdrawn.contains(replica));
+                told |= tell(seat, replica);
             }
         }
         return told ? 2 : 1;
@@ -131,7 +155,7 @@
 
     /**
      * A proxy keeps what any governor before shut out, and nobody here may know of it: it is told of each
-     * replica in its table whether it may send there.
+     * replica in its table that may ever have been shut out whether it may send there.
      */
     @Override
     public int bind(int table, int proxy, int classes) {
@@ -143,7 +167,7 @@
         seat.fresh.add(table);
         int told = 0;
         for (long replica : table(table).lines.keySet()) {
-            told += seat.tell(replica, withdrawn.contains(replica)) ? 1 : 0;
+            told += tell(seat, replica) ? 1 : 0;
         }
         return told;
     }
@@ -183,6 +207,7 @@
     public void forget(long replica) {
         names.remove(replica);
         withdrawn.remove(replica);
+        suspect.remove(replica);
         shut.values().forEach(kept -> kept.remove(replica));
         seats.values().forEach(seat -> seat.told.remove(replica));
     }
--- a/src/main/java/rockshift/net/Turns.java
+++ b/src/main/java/rockshift/net/Turns.java
@@ -100,7 +100,10 @@
 
     /** What staff agreed is never refused: it comes as it changes, whole. */
     void agreed(long version, Map<Long, Long> out, Map<String, String> terms) {
-        queue.add(now -> logic.agreed(now, version, out, terms));
+        queue.add(now -> {
+            tables.agreed();
+            logic.agreed(now, version, out, terms);
+        });
     }
 
     void reach(Reach reach) {
@@ -111,7 +114,7 @@
     void listed(List<Listed> entries, boolean changes, Map<Long, String> names) {
         listing.accept(new Roster.Listing(0, !changes, entries, names));
         queue.add(now -> {
-            tables.named(names);
+            tables.listed(entries, changes, names);
             logic.listed(now, entries, changes);
         });
     }
