--- a/src/main/java/rockshift/net/Serve.java
+++ b/src/main/java/rockshift/net/Serve.java
@@ -53,6 +53,10 @@
         turning.start();
         roster.start();
         LOG.info("{} serves on {}, port {}", charter.name(), charter.listen().getHostString(), port);
+        if (streams.beyond() > 0) {
+            LOG.warn("limits.sockets {}: {} of the proxies told could not all join here", charter.descriptors(),
+                    streams.beyond());
+        }
     }
 
     int port() {
--- a/src/main/java/rockshift/net/Streams.java
+++ b/src/main/java/rockshift/net/Streams.java
@@ -99,6 +99,11 @@
                 null, session -> session.close(CloseMode.IMMEDIATE), this::worker);
     }
 
+    /** How many proxies of those told can't be joined here all at once, as descriptors run short. */
+    int beyond() {
+        return Math.max(0, proxies + zones.size() - most);
+    }
+
     /**
      * Names the reactor's one thread for each connection that the listener took. The listener is quicker, and
      * one that finds no descriptor left ends for good: it waits here until ended connections are let go.
--- a/src/test/java/rockshift/net/GovernorTest.java
+++ b/src/test/java/rockshift/net/GovernorTest.java
@@ -616,6 +616,17 @@
                 .hasSize(2).allMatch(line -> line.contains(file));
     }
 
+    /** In a herd all proxies come to one governor: whom it could not take is told before, not then. */
+    @Test
+    void descriptorsThatAreTooFewForAllProxiesAreNamedAtStart() throws Exception {
+        serve(50, entry("s-1", "Ready", 0));
+        awaitLog("limits.sockets 50: 8 of the proxies told could not all join here");
+        logged.reset();
+        serve(60, entry("s-1", "Ready", 0));
+        awaitLog("n1 serves on");
+        assertThat(lines("could not all join")).isEmpty();
+    }
+
     /** The signal's usual effect is the process's end. */
     @Test
     void aProcessOutlivesSighupAndEndsOnSigterm() throws Exception {
