--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -240,12 +240,13 @@
             // table does for all classes first, the strictest. Serves the others a little worse meanwhile.
             boolean brief = queue() > putOff() / 2 && place != null && place.shared.filled() > 0;
             double cost = laying(place, brief);
-            // The longer it waits, the less it stands behind: a large removal could hold the last ones up.
+            // The longer it waits, the less it stands behind: removals could hold the last ones up. After
+            // half the grace it presses like a drain.
             double ripe = Math.min(1, (now - proxy.joinedAt) / (IN_TIME * grace));
             if (cost == Double.MAX_VALUE || cap > 0 && proxy.messages.size() >= cap) {
                 continue;
-            } else if (queue() > putOff() + ripe * (limit * CHANNEL_PART - putOff())
-                    || queue() + cost + head + 1 > limit * CHANNEL_PART) {
+            } else if (queue() > putOff() + ripe * (limit * PRESSING_PART - putOff())
+                    || queue() + cost + head + 1 > limit * (ripe < 1 ? CHANNEL_PART : PRESSING_PART)) {
                 return false;
             }
             waiting.remove(proxy.number);
