A replica that is forgotten and listed anew is let back again

Found on rereading. Tables.forget dropped the replica from those that may have been shut out, so one that came back under its id a minute later brought no word of it, and a proxy told to keep off it kept off for good; the story of it had its expectation changed with that, and has its old one again. What may have been shut out is kept now, 10,000 at most; with more, all are told of, as before.

--- a/src/main/java/rockshift/net/Tables.java
+++ b/src/main/java/rockshift/net/Tables.java
@@ -27,6 +27,8 @@
 final class Tables implements Orders {
     private static final Logger LOG = LoggerFactory.getLogger(Tables.class);
     private static final Pattern NUMBERED = Pattern.compile("replica (\\d+)");
+    /** Suspects that are kept, those gone among them: under a megabyte. With more, all replicas are suspect. */
+    private static final int MOST_SUSPECT = 10_000;
 
     /** Where a proxy's messages go. */
     interface Stream {
@@ -101,6 +103,10 @@
                 suspect.add(entry.replica());
             }
         }
+        if (suspect.size() > MOST_SUSPECT) {
+            suspect.clear();
+            allSuspect = true;
+        }
         names.putAll(called);
     }
 
@@ -207,7 +213,6 @@
     public void forget(long replica) {
         names.remove(replica);
         withdrawn.remove(replica);
-        suspect.remove(replica);
         shut.values().forEach(kept -> kept.remove(replica));
         seats.values().forEach(seat -> seat.told.remove(replica));
     }
--- a/src/test/java/rockshift/net/TablesTest.java
+++ b/src/test/java/rockshift/net/TablesTest.java
@@ -186,6 +186,6 @@
         tables.listed(List.of(ready(2, 0)), true, Map.of(2L, "anew"));
         tables.line(0, 2, 0.5);
         tables.flush();
-        assertThat(paper).containsExactly("update classes cut lines anew:0.5");
+        assertThat(paper).containsExactly("update classes cut lines anew:0.5 back anew");
     }
 }
