Count a table's lines once a batch, its cap in one place; no penalty without a solve

Found on rereading; behaviour stays. Each waiting proxy had the lines of its short table counted anew in every turn, twice in join, though they change with a batch alone; Place.published keeps them now, by request and in all. Whether a proxy's messages are used up stood three times in Logic, once for each of joins, completions and withdrawals. A batch for a list reckoned the penalty of a solve that it does not make.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -238,12 +238,11 @@
             Place place = proxy.place;
             // Guards the drains where many come at once, and all tables would reach the last too late: one
             // table does for all classes first, the strictest. Serves the others a little worse meanwhile.
-            boolean brief = queue() > putOff() / 2 && place != null && place.shared.filled() > 0;
+            boolean brief = queue() > putOff() / 2 && place != null && place.shared.filled > 0;
             double cost = laying(place, brief);
-            // The longer it waits, the less it stands behind: removals could hold the last ones up. After
-            // half the grace it presses like a drain.
+            // The longer it waits, the less it stands behind; after half the grace it presses like a drain.
             double ripe = Math.min(1, (now - proxy.joinedAt) / (IN_TIME * grace));
-            if (cost == Double.MAX_VALUE || cap > 0 && proxy.messages.size() >= cap) {
+            if (cost == Double.MAX_VALUE || spent(proxy, 1)) {
                 continue;
             } else if (queue() > putOff() + ripe * (limit * PRESSING_PART - putOff())
                     || queue() + cost + head + 1 > limit * (ripe < 1 ? CHANNEL_PART : PRESSING_PART)) {
@@ -256,14 +255,19 @@
         }
         boolean calm = waiting.isEmpty() && reach == Reach.FULL && queue() <= putOff() / 2;
         Proxy next = !calm ? null : proxies.values().stream().filter(proxy -> proxy.brief
-                && laying(proxy.place, false) < Double.MAX_VALUE
-                && (cap == 0 || proxy.messages.size() < cap * MESSAGE_PART)).findFirst().orElse(null);
+                && laying(proxy.place, false) < Double.MAX_VALUE && !spent(proxy, MESSAGE_PART))
+                .findFirst().orElse(null);
         if (next != null) {
             lay(orders, next, false, laying(next.place, false));
         }
         return next != null;
     }
 
+    /** Whether a proxy has had a part of the messages that it may get. */
+    private boolean spent(Proxy proxy, double part) {
+        return cap > 0 && proxy.messages.size() >= cap * part;
+    }
+
     private void lay(Orders orders, Proxy proxy, boolean brief, double cost) {
         double told = brief ? orders.bind(proxy.place.shared.number, proxy.number, 0) : 0;
         for (Request request : brief ? List.<Request>of() : proxy.place.requests) {
@@ -277,7 +281,7 @@
     /** Lines beside head and mark that laying a place's tables, or one, comes to; too many for none. */
     private double laying(Place place, boolean brief) {
         boolean none = place == null || !place.laid || place.filled == 0 || reach == Reach.HOLD;
-        return none ? Double.MAX_VALUE : brief ? place.shared.filled() + 2 : place.filled + 2 * classes;
+        return none ? Double.MAX_VALUE : brief ? place.shared.filled + 2 : place.filled + 2 * classes;
     }
 
     /**
@@ -309,8 +313,7 @@
             long since = Math.max(proxy.joinedAt, proxy.warnedAt);
             boolean late = now - since + ahead / pace + number("transit.longest", 0) > IN_TIME * grace;
             if (late && proxy.warnedAt < lostAt && out.size() < cost
-                    && queue() + out.size() + head + 1 <= limit * PRESSING_PART
-                    && (cap == 0 || proxy.messages.size() < cap)) {
+                    && queue() + out.size() + head + 1 <= limit * PRESSING_PART && !spent(proxy, 1)) {
                 proxy.warnedAt = now;
                 tell(orders, proxy, out, true);
                 told = true;
@@ -342,9 +345,11 @@
         weighDemand();
         estimate();
         setLevels();
-        double penalty = Request.penalty(requests, ALPHA);
-        for (int i = 0; ordinary && i < ITERATIONS; i++) {
-            iterate(penalty);
+        if (ordinary) {
+            double penalty = Request.penalty(requests, ALPHA);
+            for (int i = 0; i < ITERATIONS; i++) {
+                iterate(penalty);
+            }
         }
         publish(orders, ordinary);
         if (ordinary) {
--- a/src/main/java/rockshift/Place.java
+++ b/src/main/java/rockshift/Place.java
@@ -60,8 +60,13 @@
      */
     void published(Orders orders) {
         laid = joined > 0;
-        filled = laid ? requests.stream().mapToInt(Request::filled).sum() : 0;
-        requests.forEach(request -> request.sent = 0);
+        filled = 0;
+        for (Request request : requests) {
+            request.filled = !laid ? 0
+                    : (int) request.paths.values().stream().filter(path -> path.published > 0).count();
+            request.sent = 0;
+            filled += request.filled;
+        }
         sent = 0;
         full = barred = false;
         if (!laid) {
--- a/src/main/java/rockshift/Request.java
+++ b/src/main/java/rockshift/Request.java
@@ -14,7 +14,8 @@
     double utopic;
     double total;
     double sentLevel;
-    /** Lines of its table so far, while a batch is published. */
+    /** Lines that its table has since the last batch; lines sent of it so far, while one is published. */
+    int filled;
     double sent;
     /** What the standing weights sum to, where the targets sum to 1. */
     double scale = 1;
@@ -25,11 +26,6 @@
         this.number = number;
     }
 
-    /** Lines that its table has. */
-    int filled() {
-        return (int) paths.values().stream().filter(path -> path.published > 0).count();
-    }
-
     /** The paper's start of the penalty, from utopic totals and lower bounds; the weights sum to 1. */
     static double penalty(List<Request> requests, double alpha) {
         double lowest = requests.stream().filter(request -> request.utopic > 0)
