First reports and who joined just before them no longer inflate rates at a start

Checked: reports were not doubled (tried and came fit what was let in), and loads were told. At fault: Logic.setLevels divided by flowTime, which a list right after the first reports left near zero on a busy fleet; Logic.fade let usualThen begin with what was joined one batch before the first reports, 6 of 148, and took 12 s to forget it.

A busy fleet's first rates are now at most twice too safe, and the means of who is joined begin with who is there at the first reports.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -457,11 +457,11 @@
         // proxies, and its estimates would stay at its old part of the fleet as long as they remember. Two
         // report periods pass until new proxies are in. Could mistake one that gets far from its usual.
         double lag = 2 * number("report.period", 0);
-        double thenKept = heardTime > 0 ? Math.exp((fadedAt - now) / (CAPACITY_MEMORY + lag)) : 0;
-        double flowThenKept = heardTime > 0 ? Math.exp((fadedAt - now) / (FLOW_MEMORY + lag)) : 0;
+        double thenKept = flowTime > 0 ? Math.exp((fadedAt - now) / (CAPACITY_MEMORY + lag)) : 0;
+        double flowThenKept = flowTime > 0 ? Math.exp((fadedAt - now) / (FLOW_MEMORY + lag)) : 0;
+        usual = proxies.values().stream().mapToDouble(proxy -> proxy.usualRate).sum();
         usualThen = usualThen * thenKept + usual * (1 - thenKept);
         usualFlow = usualFlow * flowThenKept + usual * (1 - flowThenKept);
-        usual = proxies.values().stream().mapToDouble(proxy -> proxy.usualRate).sum();
         fadedAt = now;
         for (Replica replica : replicas.values()) {
             // What a cold replica answers tells nothing of what it will when it is warm.
@@ -647,13 +647,13 @@
         double refused = 1 - passed / Arrays.stream(came).sum();
         double found = Math.max(0, Math.min(MOST_REPEATS, (passed / Math.max(1, tried) - 1) / refused));
         repeats += refused > TRUSTED ? REPEATS_STEP * (found - repeats) : 0;
-        // At a start the times are too safe by a third: only an overworked fleet soon gets more than is told.
+        // At a start the times are too safe, up to a half: only an overworked fleet soon gets more than is told.
         boolean calm = fleetLoad < OVERWORKED;
         double[] each = new double[classes];
         double demand = 0;
         double benefits = 0;
         for (int k = 0; k < classes; k++) {
-            each[k] = grown(usualFlow) * came[k] / (calm ? flowSpan : flowTime)
+            each[k] = grown(usualFlow) * came[k] / (calm ? flowSpan : Math.max(flowTime, flowSpan / 2))
                     / (1 + repeats * (1 - letIn[k]));
             demand += each[k];
             benefits += each[k] * number("class." + k + ".benefit", 1);
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -735,6 +735,43 @@
         assertThat(first).isLessThan(host.levels.get(0) - 0.1);
     }
 
+    /** join+vast: a list came right after the first reports, and what came was divided by no time: all was refused. */
+    @Test
+    void firstReportsOfABusyFleetAreNotDividedByNoTime() {
+        FakeHost host = new FakeHost().fleet(12);
+        host.logic.listed(host.now, List.of(new Listed(11, "east", "plain", Listed.Health.DRAINING, 0)), true);
+        host.turn();
+        for (long replica = 1; replica <= 10; replica++) {
+            host.logic.heard(host.now, replica % 2 == 1 ? "east" : "west", replica, 12, 0, 2_000, 2 * SECOND, 0.9);
+        }
+        host.logic.usage(host.now, 0, "cut", 60, 2 * SECOND);
+        host.logic.usage(host.now, 1, "cut", 60, 2 * SECOND);
+        host.now += 1;
+        host.logic.listed(host.now, List.of(new Listed(12, "west", "plain", Listed.Health.DRAINING, 0)), true);
+        host.turn().pass(1);
+        assertThat(host.levels.get(0)).as("0.8 of half of what comes").isGreaterThan(0.4);
+    }
+
+    /**
+     * zone+vast: proxies joined in the second before the first reports, which counted as those of the few that had come
+     * before. The fleet's calm rate was held for up to ten times what it was, and a jam of ten seconds refused nobody.
+     */
+    @Test
+    void whoJoinsBeforeTheFirstReportsIsNotTakenForMoreThanTheyTellOf() {
+        FakeHost host = new FakeHost().crowd(4, 1, 10);
+        for (int proxy = 1; proxy < 10; proxy++) {
+            host.join(proxy, proxy % 2 == 0 ? "east" : "west", 10);
+        }
+        for (int i = 0; i < 4; i++) {
+            host.second(good(1, 25, 0.7), good(2, 25, 0.7), good(3, 25, 0.7), good(4, 25, 0.7));
+        }
+        for (int i = 0; i < 3; i++) {
+            host.second(new Report(1, 30, 10, 1.0), new Report(2, 30, 10, 1.0), new Report(3, 30, 10, 1.0),
+                    new Report(4, 30, 10, 1.0));
+        }
+        assertThat(host.levels.getOrDefault(0, 1.0)).isLessThan(0.9);
+    }
+
     // ---- a long day ----
 
     /** Under new ids all day: nothing is left of the first, not even in a hall whose proxies all went elsewhere. */
