--- a/src/main/java/rockshift/net/Charter.java
+++ b/src/main/java/rockshift/net/Charter.java
@@ -6,7 +6,9 @@
 import java.io.File;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.StringJoiner;
 import java.util.stream.Collectors;
@@ -22,6 +24,8 @@
         Roster.Listing known, Map<String, String> terms) {
     /** Descriptors where none are told: what is usual for a process. */
     private static final int USUAL_DESCRIPTORS = 1024;
+    /** Tenths of a ms in a second. */
+    private static final double SECOND = 10_000;
 
     /** A file that can't be used; the message names it and the field. */
     static final class Unusable extends Exception {
@@ -80,6 +84,33 @@
         return new Charter(name, listen, discovery, seed, descriptors, known, terms.map());
     }
 
+    /**
+     * What is told of the channel that could not be kept if all proxies told were here, a line for each field. The least
+     * that all of them can be sent is one line each, with its head and its mark.
+     */
+    List<String> beyondChannel() {
+        double proxies = number("proxies", 0);
+        double least = proxies * (number("message.head", 0) + 2);
+        double limit = number("channel.limit", Double.MAX_VALUE);
+        double grace = number("drain.grace", Double.MAX_VALUE) / SECOND;
+        double takes = least / number("channel.pace", Double.MAX_VALUE);
+        List<String> lines = new ArrayList<>();
+        if (least > limit) {
+            lines.add(String.format(Locale.ROOT, "domain.backlog %.0f: one drain told to all %.0f proxies at once comes to %.0f"
+                    + " lines", limit, proxies, least));
+        }
+        if (takes > grace) {
+            lines.add(String.format(Locale.ROOT, "domain.channel_rate %.0f: one drain told to all %.0f proxies takes %.1f of"
+                    + " the %.1f s that it is given", number("channel.pace", 0), proxies, takes, grace));
+        }
+        return lines;
+    }
+
+    private double number(String name, double otherwise) {
+        String value = terms.get(name);
+        return value == null || value.isEmpty() ? otherwise : Double.parseDouble(value);
+    }
+
     /** The fields in which another file differs though they stand for as long as the process serves. */
     String fixed(Charter other) {
         return Stream.of(name.equals(other.name) ? "" : "name", listen.equals(other.listen) ? "" : "listen",
--- a/src/main/java/rockshift/net/Serve.java
+++ b/src/main/java/rockshift/net/Serve.java
@@ -57,6 +57,7 @@
             LOG.warn("limits.sockets {}: {} of the proxies told could not all join here", charter.descriptors(),
                     streams.beyond());
         }
+        charter.beyondChannel().forEach(LOG::warn);
     }
 
     int port() {
--- a/src/test/java/rockshift/net/GovernorTest.java
+++ b/src/test/java/rockshift/net/GovernorTest.java
@@ -702,6 +702,20 @@
         assertThat(lines("could not all join")).isEmpty();
     }
 
+    /** Regina-south, herd+mass: drains broke where few lines a second met all proxies; it can be told before. */
+    @Test
+    void aChannelThatCanNotTellAllProxiesOfADrainInTimeIsNamedAtStart() throws Exception {
+        started(charter("127.0.0.1:0", 1024, TERMS.replace("\"channel_rate\":5000,\"backlog\":5000.0",
+                "\"channel_rate\":10,\"backlog\":39.0").replace("\"fall_multiple\"", "\"drain_grace_us\":3000000,\"fall_multiple\""),
+                entry("s-1", "Ready", 0)));
+        awaitLog("domain.backlog 39: one drain told to all 8 proxies at once comes to 40 lines");
+        awaitLog("domain.channel_rate 10: one drain told to all 8 proxies takes 4.0 of the 3.0 s that it is given");
+        logged.reset();
+        serve();
+        awaitLog("n1 serves on");
+        assertThat(lines("one drain told to all")).isEmpty();
+    }
+
     /** The signal's usual effect is the process's end. */
     @Test
     void aProcessOutlivesSighupAndEndsOnSigterm() throws Exception {
