--- a/src/test/java/rockshift/FleetTest.java
+++ b/src/test/java/rockshift/FleetTest.java
@@ -93,7 +93,8 @@
             hosts.get(governor).join(proxy, zone(proxy), BRINGS);
         }
 
-        private int alive(int step) {
+        /** The first governor that still serves. */
+        private int first(int step) {
             return step < DEATH ? 0 : 1;
         }
 
@@ -135,7 +136,7 @@
                     }
                 }
                 later.getOrDefault(step, List.of()).forEach(Runnable::run);
-                for (int g = alive(step); g < GOVERNORS; g++) {
+                for (int g = first(step); g < GOVERNORS; g++) {
                     hosts.get(g).turn();
                     hosts.get(g).pass(0.5);
                     send(g, step);
@@ -191,8 +192,11 @@
                 }
             }
             later.computeIfAbsent(step + 2, key -> new ArrayList<>()).add(() -> {
-                met.forEach((replica, count) -> host.logic.heard(host.now, zone(replica), replica, (int) Math.round(count), 0,
-                        2_000, PERIOD * SECOND / 2, Math.min(1, 2 * sent.get(replica)[step] / can(replica, step))));
+                met.forEach((replica, count) -> {
+                    double load = Math.min(1, 2 * sent.get(replica)[step] / can(replica, step));
+                    host.logic.heard(host.now, zone(replica), replica, (int) Math.round(count), 0, 2_000,
+                            PERIOD * SECOND / 2, load);
+                });
                 came.forEach((proxy, count) -> host.logic.usage(host.now, proxy, "cut", count, PERIOD * SECOND / 2));
             });
         }
