--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -647,7 +647,7 @@
         double refused = 1 - passed / Arrays.stream(came).sum();
         double found = Math.max(0, Math.min(MOST_REPEATS, (passed / Math.max(1, tried) - 1) / refused));
         repeats += refused > TRUSTED ? REPEATS_STEP * (found - repeats) : 0;
-        // At a start the times are too safe, up to a half: only an overworked fleet soon gets more than is told.
+        // At a start the times are too safe, up to a half: only an overworked fleet gets more than is told.
         boolean calm = fleetLoad < OVERWORKED;
         double[] each = new double[classes];
         double demand = 0;
