--- a/src/test/java/rockshift/net/GovernorTest.java
+++ b/src/test/java/rockshift/net/GovernorTest.java
@@ -649,7 +649,10 @@
 
     // ---- another file ----
 
-    /** The signal's usual effect ended the process. The watch of the old address was held, and its answer would be of a list that is no longer in force. */
+    /**
+     * The signal's usual effect ended the process. The watch of the old address was held, and its answer would be of a
+     * list that is no longer in force.
+     */
     @Test
     void aNewFileUnderLoadMovesTheWatchAndNothingElse() throws Exception {
         String file = charter("127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0), entry("s-2", "Ready", 0));
