--- a/src/main/java/rockshift/Main.java
+++ b/src/main/java/rockshift/Main.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import rockshift.drill.Drill;
+import rockshift.net.ProcessSignals;
 import rockshift.net.Serve;
 
 /** Looks at its first word: a governor and the drill start without anything that commands need. */
@@ -12,7 +13,10 @@
     public static void main(String[] arguments) throws IOException, InterruptedException {
         String command = arguments.length == 1 ? arguments[0] : "";
         if (command.equals("serve")) {
-            System.exit(Serve.run(System.getenv()));
+            ProcessSignals signals = ProcessSignals.install();
+            int status = Serve.run(System.getenv(), signals, null);
+            signals.release();
+            System.exit(status);
         } else if (command.equals("drill")) {
             System.exit(Drill.run(System.in, System.out));
         }
--- a/src/main/java/rockshift/cli/Commands.java
+++ b/src/main/java/rockshift/cli/Commands.java
@@ -11,6 +11,7 @@
 import picocli.CommandLine.Spec;
 import rockshift.cluster.ClusterCharter;
 import rockshift.drill.Drill;
+import rockshift.net.ProcessSignals;
 import rockshift.operator.OperatorFile;
 import rockshift.operator.Section;
 import rockshift.operator.Unusable;
@@ -43,13 +44,19 @@
 
         @Override
         public Integer call() throws Exception {
-            if (operator == null) {
-                return rockshift.net.Serve.run(System.getenv());
+            ProcessSignals signals = ProcessSignals.install();
+            try {
+                return rockshift.net.Serve.run(System.getenv(), signals, operator == null ? null : companion());
+            } finally {
+                signals.release();
             }
+        }
+
+        private ClusterCompanion companion() throws Exception {
             Section file = OperatorFile.read(operator);
             ClusterCharter cluster = ClusterCharter.read(file);
             file.end();
-            return rockshift.net.Serve.run(System.getenv(), new ClusterCompanion(cluster));
+            return new ClusterCompanion(cluster);
         }
     }
 
--- a/src/main/java/rockshift/net/Charter.java
+++ b/src/main/java/rockshift/net/Charter.java
@@ -77,9 +77,14 @@
         for (String needed : new String[] {"zones", "classes", "proxies"}) {
             require(file, "settings (" + needed + ")", terms.map().get(needed));
         }
-        List<String> classes = classNames(terms.map());
-        for (int k = 0; k < classes.size(); k++) {
-            require(file, "settings (class." + k + ".name)", classes.get(k));
+        try {
+            List<String> classes = classNames(terms.map());
+            for (int k = 0; k < classes.size(); k++) {
+                require(file, "settings (class." + k + ".name)", classes.get(k));
+            }
+            Double.parseDouble(terms.map().get("proxies"));
+        } catch (NumberFormatException wrong) {
+            throw new Unusable(file + ": field settings: " + wrong.getMessage());
         }
         return new Charter(name, listen, discovery, seed, descriptors, known, terms.map());
     }
--- a/src/main/java/rockshift/net/Serve.java
+++ b/src/main/java/rockshift/net/Serve.java
@@ -4,12 +4,11 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import sun.misc.Signal;
 
 /**
  * A governor on sockets, put together from its parts: the charter, the module's thread, the roster and the
- * streams. It owns their start and their end, and the signals that the process gets: SIGTERM ends it, SIGHUP has
- * the file read again. It must never take part in what the parts do, and no file may end what serves.
+ * streams. It owns their start and their end, in whatever order these are asked for, and what a reload changes. It must
+ * never take part in what the parts do, and no file may end what serves.
  */
 public final class Serve implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Serve.class);
@@ -18,12 +17,16 @@
     private static final int FAILED = 1;
 
     private final Charter charter;
+    private final Turns turns;
     private final Thread turning;
     private final Roster roster;
     private final Streams streams;
     private final Companion companion;
     private final Inlet inlet;
+    private final Object reloading = new Object();
     private int port;
+    /** Whether it ends or has ended: nothing is begun any more. */
+    private boolean closed;
 
     Serve(Charter charter) {
         this(charter, null);
@@ -32,7 +35,7 @@
     Serve(Charter charter, Companion companion) {
         this.charter = charter;
         this.companion = companion;
-        Turns turns = new Turns(charter.seed(), charter.terms());
+        turns = new Turns(charter.seed(), charter.terms());
         inlet = companion == null ? null : new Inlet(turns);
         Roster.take(charter.known(), turns);
         turning = new Thread(turns, "turns");
@@ -44,14 +47,19 @@
         if (companion != null) {
             companion.begin(inlet);
         }
-        try {
-            port = streams.listen(charter.listen());
-        } catch (IOException failure) {
-            streams.close();
-            throw new IOException("cannot listen on " + charter.listen() + ": " + failure.getMessage(), failure);
+        synchronized (this) {
+            if (closed) {
+                return;
+            }
+            try {
+                port = streams.listen(charter.listen());
+            } catch (IOException failure) {
+                streams.close();
+                throw new IOException("cannot listen on " + charter.listen() + ": " + failure.getMessage(), failure);
+            }
+            turning.start();
+            roster.start();
         }
-        turning.start();
-        roster.start();
         LOG.info("{} serves on {}, port {}", charter.name(), charter.listen().getHostString(), port);
         if (streams.beyond() > 0) {
             LOG.warn("limits.sockets {}: {} of the proxies told could not all join here", charter.descriptors(),
@@ -68,62 +76,74 @@
      * Takes in what may change while serving: where discovery is. What was read at the start and can't change
      * is named and left, and a file that can't be used changes nothing. No stream notices any of it.
      */
-    synchronized void reload(String file) {
-        try {
-            Charter anew = Charter.read(file);
-            String fixed = charter.fixed(anew);
-            LOG.info("{} read again, discovery at {}:{}{}", file, anew.discovery().getHostString(),
-                    anew.discovery().getPort(), fixed.isEmpty() ? "" : "; takes a restart: " + fixed);
-            roster.follow(anew.discovery());
-        } catch (Charter.Unusable wrong) {
-            LOG.warn("{}; the file before stays in force", wrong.getMessage());
+    void reload(String file) {
+        // One after the other, so that the file that was written last counts; a file that is slow to read holds up nobody else.
+        synchronized (reloading) {
+            try {
+                Charter anew = Charter.read(file);
+                synchronized (this) {
+                    if (closed) {
+                        return;
+                    }
+                    String fixed = charter.fixed(anew);
+                    LOG.info("{} read again, discovery at {}:{}{}", file, anew.discovery().getHostString(),
+                            anew.discovery().getPort(), fixed.isEmpty() ? "" : "; takes a restart: " + fixed);
+                    roster.follow(anew.discovery());
+                }
+            } catch (Charter.Unusable wrong) {
+                LOG.warn("{}; the file before stays in force", wrong.getMessage());
+            }
         }
     }
 
+    /**
+     * Ends the parts, and waits for none but, for a moment, the sockets. The module comes first: it would take the
+     * ends of streams that are ended here for proxies that left, and tell the others so.
+     */
     @Override
     public void close() throws InterruptedException {
+        turns.close();
+        synchronized (this) {
+            closed = true;
+            turning.interrupt();
+            roster.close();
+            streams.close();
+        }
         if (companion != null) {
             companion.end();
         }
-        roster.close();
-        streams.close();
-        turning.interrupt();
     }
 
-    /** What happens once the process is told to end: nothing is left to wait for. */
-    private static void stop(Serve serve) {
-        try {
-            LOG.info("{} stops", serve.charter.name());
-            serve.close();
-        } catch (InterruptedException hurried) {
-            Thread.currentThread().interrupt();
-        } finally {
-            Runtime.getRuntime().halt(0);
-        }
-    }
+    /** Tells signals how what they ask for is done. */
+    private ProcessSignals.Listener listener(String file) {
+        return new ProcessSignals.Listener() {
+            @Override
+            public void reload() {
+                Serve.this.reload(file);
+            }
 
-    /** Serves until the process is told to end; answers an exit status where it can't begin or go on. */
-    public static int run(Map<String, String> environment) throws InterruptedException {
-        return run(environment, null);
+            @Override
+            public void stop() throws InterruptedException {
+                LOG.info("{} stops", charter.name());
+                close();
+            }
+        };
     }
 
-    /** The same with a companion, or null for none. */
-    public static int run(Map<String, String> environment, Companion companion) throws InterruptedException {
+    /**
+     * Serves until the process is told to end; answers an exit status where it can't begin or go on. A companion is
+     * what runs beside it, or null.
+     */
+    public static int run(Map<String, String> environment, ProcessSignals signals, Companion companion)
+            throws InterruptedException {
         String file = environment.get("RELAY_CONFIG");
-        Charter charter;
+        Serve serve;
         try {
-            charter = Charter.read(file);
+            serve = new Serve(Charter.read(file), companion);
+            serve.start();
         } catch (Charter.Unusable wrong) {
             System.err.println(wrong.getMessage());
             return UNUSABLE;
-        }
-        Serve serve;
-        try {
-            serve = new Serve(charter, companion);
-            // Before it listens: the signal's usual effect would end the process.
-            Signal.handle(new Signal("HUP"), signal -> serve.reload(file));
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(serve), "stop"));
-            serve.start();
         } catch (NumberFormatException wrong) {
             System.err.println(file + ": field settings: " + wrong.getMessage());
             return UNUSABLE;
@@ -131,6 +151,10 @@
             System.err.println(failure.getMessage());
             return FAILED;
         }
+        if (signals.hangupIgnored()) {
+            LOG.warn("SIGHUP is ignored by whoever started this process: a new file takes a restart");
+        }
+        signals.tell(serve.listener(file));
         serve.turning.join();
         return FAILED;
     }
--- a/src/main/java/rockshift/net/Turns.java
+++ b/src/main/java/rockshift/net/Turns.java
@@ -40,6 +40,7 @@
     /** Who else hears of the list, on the thread that brings it. */
     volatile Consumer<Roster.Listing> listing = list -> { };
     private long wakeAt = Long.MAX_VALUE;
+    private volatile boolean closed;
 
     Turns(long seed, Map<String, String> terms) {
         logic = new Logic(now(), seed, terms);
@@ -119,17 +120,25 @@
         });
     }
 
+    /** Nothing more is decided than the turn in hand, whatever comes; interrupt the thread to have it end at once. */
+    void close() {
+        closed = true;
+    }
+
     @Override
     public void run() {
         List<LongConsumer> inputs = new ArrayList<>();
         try {
-            while (!Thread.currentThread().isInterrupted()) {
+            while (!closed) {
                 long pause = Math.max(0, Math.min(LONGEST_PAUSE, wakeAt - now()));
                 LongConsumer first = queue.poll(pause * NANOS_PER_TENTH, TimeUnit.NANOSECONDS);
                 if (first != null) {
                     inputs.add(first);
                 }
                 queue.drainTo(inputs);
+                if (closed) {
+                    return;
+                }
                 long now = now();
                 inputs.forEach(input -> guarded(() -> input.accept(now)));
                 inputs.clear();
