The watch of discovery leaves an address, a lost call and an old list whatever crosses

Ruled out: half a head or body, an answer in the instant of its connection's end, an answer after the call was given up (the next call has the same index and gets the change again), the same version again, an address told and taken back: stories that hold before.

Change: what was told decides and an interrupt only hurries; a late connection is ended as it comes up; a client that has ended is replaced; the first call has a watch's time, as the agent answers at once (PROTOCOL, Discovery) and a change counts as told meanwhile; a list that can't follow the one held has all asked for, and what that brings counts whatever its version, as discovery may have begun anew.

--- a/src/main/java/rockshift/net/Roster.java
+++ b/src/main/java/rockshift/net/Roster.java
@@ -15,10 +15,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpResponse;
@@ -31,6 +33,7 @@
 import org.apache.hc.core5.http.nio.support.BasicResponseConsumer;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOReactorStatus;
 import org.apache.hc.core5.util.Timeout;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -52,11 +55,14 @@
     /**
      * Ms beyond that until a call counts as lost, and until a connection does: the agent is on this machine and
      * answers at once. Each loss doubles it, as the loss may be ours on a busy core, up to what the protocol leaves.
+     * The first call, for the whole list, has the same time, as what it would say is told all the while.
      */
     private static final int LATE = 500;
     private static final int LATEST = 2_000;
-    /** Ms until a call that is not held counts as lost; what it would say is told after 6 s. */
-    private static final int PROMPT = 5_000;
+    /** Ms after which the client itself ends what was given up: longer than any call, and few at a time. */
+    private static final int ABANDONED = HELD + 2 * LATEST;
+    /** In place of the version of a list: the whole of it is asked for. */
+    private static final long NONE = -1;
     /** Ms after a failed call: under the 200 ms that a watch outlives, and no load on the agent. */
     private static final int PAUSE = 100;
     /** Bytes of the longest answer: tens of thousands of replicas, and an eighth of the heap. */
@@ -68,23 +74,20 @@
 
     private final Thread thread = new Thread(this, "roster");
     private final Turns turns;
-    private final HttpAsyncRequester client;
-    /** Where discovery is from now on, as told last; the roster's thread goes there when it is interrupted. */
+    /** Where discovery is from now on, as told last. An interrupt only hurries the thread, and may be lost. */
     private volatile HttpHost told;
     private volatile boolean closed;
     // Used by the roster's thread alone: the address that is watched, and how it stands there.
     private HttpHost host;
+    HttpAsyncRequester client;
     private AsyncClientEndpoint endpoint;
-    private long version = -1;
+    private long version = NONE;
     private int late = LATE;
     private String complaint = "";
 
     Roster(InetSocketAddress discovery, Turns turns) {
         told = host(discovery);
         this.turns = turns;
-        client = AsyncRequesterBootstrap.bootstrap()
-                .setIOReactorConfig(IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).build())
-                .create();
     }
 
     /** The number of a replica: the same at every governor and after every start, as its name is. */
@@ -125,24 +128,33 @@
 
     @Override
     public void run() {
-        client.start();
         while (!closed) {
             try {
                 watch();
-            } catch (InterruptedException moved) {
+            } catch (InterruptedException hurried) {
+                // Told another address or to end, or neither: what was told decides.
+            } finally {
                 drop();
             }
         }
-        client.close(CloseMode.IMMEDIATE);
+        end();
     }
 
-    /** Watches one address until the thread is interrupted. Versions of another may be others: all is asked for. */
+    private void end() {
+        if (client != null) {
+            client.close(CloseMode.IMMEDIATE);
+        }
+    }
+
+    /** Watches one address until another one is told. Versions of another may be others: all is asked for. */
     private void watch() throws InterruptedException {
         host = told;
-        version = -1;
-        while (true) {
+        version = NONE;
+        late = LATE;
+        while (!closed && host.equals(told)) {
             try {
                 Listing listing = ask();
+                follows(listing);
                 version = listing.version;
                 take(listing, turns);
                 complaint = "";
@@ -157,6 +169,19 @@
         }
     }
 
+    /**
+     * Whether a list can be added to the one that is held. One that is older, or that tells what changed since nobody
+     * knows when, is not taken: all is asked for instead. What comes then counts, however low its version: discovery
+     * may have begun anew, and its lists would be refused for good.
+     */
+    private void follows(Listing listing) throws IOException {
+        if (version == NONE ? !listing.whole : listing.version < version) {
+            String what = version == NONE ? "changes in place of the whole list" : "version " + listing.version;
+            version = NONE;
+            throw new IOException(what + " is no answer to what was asked");
+        }
+    }
+
     /** One line for each trouble, not for each try. */
     private void complain(Throwable cause) {
         String line = cause.toString().lines().findFirst().orElse("");
@@ -173,29 +198,55 @@
         }
     }
 
-    /** The client's own limit also holds for what is read later, so that it leaves room for a watch. */
+    /**
+     * The client's own limit also holds for what is read later, so that it leaves room for a watch. A connection that comes
+     * up after it was given up is ended then: the client would count it as in use for good, and has room for few.
+     */
     private AsyncClientEndpoint connect() throws ExecutionException, TimeoutException, InterruptedException {
-        Future<AsyncClientEndpoint> connecting =
-                client.connect(host, Timeout.ofMilliseconds(PROMPT + LATEST));
+        if (client == null || client.getStatus() != IOReactorStatus.ACTIVE) {
+            end();
+            client = AsyncRequesterBootstrap.bootstrap()
+                    .setIOReactorConfig(IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).build())
+                    .create();
+            client.start();
+        }
+        CompletableFuture<AsyncClientEndpoint> connecting = new CompletableFuture<>();
+        client.connect(host, Timeout.ofMilliseconds(ABANDONED), null, new FutureCallback<>() {
+            @Override
+            public void completed(AsyncClientEndpoint up) {
+                if (!connecting.complete(up)) {
+                    up.releaseAndDiscard();
+                }
+            }
+
+            @Override
+            public void failed(Exception failure) {
+                connecting.completeExceptionally(failure);
+            }
+
+            @Override
+            public void cancelled() {
+                connecting.cancel(false);
+            }
+        });
         try {
             return connecting.get(late, TimeUnit.MILLISECONDS);
         } finally {
-            connecting.cancel(true);
+            connecting.cancel(false);
         }
     }
 
     /** One call: the whole list first, then a watch for what is newer than the list that is held. */
     private Listing ask() throws IOException, ExecutionException, TimeoutException, InterruptedException {
-        int limit = version < 0 ? PROMPT : HELD + late;
         if (endpoint == null || !endpoint.isConnected()) {
             drop();
             endpoint = connect();
         }
-        String path = "/discovery/hosts" + (version < 0 ? "" : "?index=" + version + "&wait=" + HELD);
+        String path = "/discovery/hosts" + (version == NONE ? "" : "?index=" + version + "&wait=" + HELD);
         Future<Message<HttpResponse, byte[]>> call = endpoint.execute(
                 AsyncRequestBuilder.get().setHttpHost(host).setPath(path).build(),
                 new BasicResponseConsumer<>(new Body()), null);
-        Message<HttpResponse, byte[]> answer = call.get(limit, TimeUnit.MILLISECONDS);
+        Message<HttpResponse, byte[]> answer = call.get(HELD + late, TimeUnit.MILLISECONDS);
         if (answer.getHead().getCode() != 200 || answer.getBody() == null) {
             throw new IOException("status " + answer.getHead().getCode());
         }
