A file is looked at where SIGHUP can't be heard; streams: one reason, and sends never fail

Change: where SIGHUP is ignored, which Signal.handle tells by what it replaces, the file is looked at every second, beginning with what stood there before it was read.

Streams, read and then forced step by step (StreamLifeTest): a connection that the selector lets go of while the module's thread sends failed that thread's whole turn, and others lost what they were owed (Party.send); the reason of an end was tested and set by two threads; bytes could be queued behind an end; the old stream of a proxy was ended before its new one was taken. Ruled out: a joining is never refused, as its own connection has nothing waiting; the late end of an old stream; a mark of another stream; bytes in one piece with an end.

--- a/src/main/java/rockshift/net/Serve.java
+++ b/src/main/java/rockshift/net/Serve.java
@@ -1,6 +1,9 @@
 package rockshift.net;
 
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -15,6 +18,8 @@
     /** Exit statuses: a file that can't be used, and all else that keeps it from serving. */
     private static final int UNUSABLE = 2;
     private static final int FAILED = 1;
+    /** Ms between two looks at a file that nobody can be told of: a drain's grace is longer, and a look costs nothing. */
+    private static final long LOOK = 1_000;
 
     private final Charter charter;
     private final Turns turns;
@@ -137,6 +142,7 @@
     public static int run(Map<String, String> environment, ProcessSignals signals, Companion companion)
             throws InterruptedException {
         String file = environment.get("RELAY_CONFIG");
+        String seen = stamp(file);
         Serve serve;
         try {
             serve = new Serve(Charter.read(file), companion);
@@ -151,11 +157,36 @@
             System.err.println(failure.getMessage());
             return FAILED;
         }
+        signals.tell(serve.listener(file));
         if (signals.hangupIgnored()) {
-            LOG.warn("SIGHUP is ignored by whoever started this process: a new file takes a restart");
+            serve.watch(file, seen);
         }
-        signals.tell(serve.listener(file));
         serve.turning.join();
         return FAILED;
     }
+
+    /**
+     * Where whoever started the process has SIGHUP ignored, a Java process can't hear of it, and the file is looked at
+     * instead: one that is another than was seen before is read.
+     */
+    private void watch(String file, String before) throws InterruptedException {
+        LOG.warn("SIGHUP is ignored by whoever started this process: {} is looked at every second instead", file);
+        for (String seen = before; turning.isAlive(); turning.join(LOOK)) {
+            String now = stamp(file);
+            if (!now.equals(seen)) {
+                seen = now;
+                reload(file);
+            }
+        }
+    }
+
+    /** Which file it is and when it was written, or why that can't be told. */
+    private static String stamp(String file) {
+        try {
+            BasicFileAttributes now = Files.readAttributes(Path.of(file == null ? "" : file), BasicFileAttributes.class);
+            return now.fileKey() + " " + now.lastModifiedTime() + " " + now.size();
+        } catch (IOException failure) {
+            return failure.toString();
+        }
+    }
 }
--- a/src/main/java/rockshift/net/Streams.java
+++ b/src/main/java/rockshift/net/Streams.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -14,6 +15,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
@@ -94,11 +96,16 @@
         most = Math.max(1, descriptors - RESERVED);
         IOReactorConfig one = IOReactorConfig.custom().setIoThreadCount(1).setBacklogSize(BACKLOG)
                 .setSoReuseAddress(true).setTcpNoDelay(true).setSelectInterval(TimeValue.ofMilliseconds(LOOK)).build();
-        reactor = new DefaultListeningIOReactor((session, attachment) -> new Party(session), one, null, null,
+        reactor = new DefaultListeningIOReactor((session, attachment) -> connection(session), one, null, null,
                 null, failure -> LOG.error("failure of the listener", failure), null,
                 null, session -> session.close(CloseMode.IMMEDIATE), this::worker);
     }
 
+    /** What the reactor tells of a connection. */
+    IOEventHandler connection(IOSession session) {
+        return new Party(session);
+    }
+
     /** How many proxies of those told can't be joined here all at once, as descriptors run short. */
     int beyond() {
         return Math.max(0, proxies + zones.size() - most);
@@ -133,6 +140,9 @@
         reactor.awaitShutdown(TimeValue.ofMilliseconds(FAREWELL));
     }
 
+    /** Why a connection ended: a code, and what else there is to say. */
+    private record Ending(String code, String about) { }
+
     /** One connection and who is at its other end. */
     private final class Party implements IOEventHandler, Tables.Stream {
         private final IOSession session;
@@ -143,8 +153,8 @@
         private final AtomicInteger unread = new AtomicInteger();
         /** Its messages that the module has not taken in yet. */
         private final AtomicInteger queued = new AtomicInteger();
-        private volatile String reason;
-        private String about = "";
+        /** Why it ended, once: by the reactor's thread, or by the module's where it leaves too much unread. */
+        private final AtomicReference<Ending> ending = new AtomicReference<>();
         private String name = "stranger";
         /** The zone of a collector; the number of a proxy. */
         private String zone;
@@ -208,7 +218,7 @@
             unfinished -= resp.held() - Resp.USUAL;
             try {
                 resp.feed(piece.flip());
-                while (reason == null && resp.next()) {
+                while (ending.get() == null && resp.next()) {
                     if (!taken()) {
                         end("flood", queued + " messages wait for the module");
                     }
@@ -260,9 +270,13 @@
                     int number = numbered();
                     String told = zone();
                     double rate = resp.number(Resp.USUAL_RATE);
-                    named("proxy " + number);
                     proxy = number;
-                    yield turns.joined(queued, number, told, rate, this);
+                    // Its old connection is ended only where this one is taken.
+                    boolean taken = turns.joined(queued, number, told, rate, this);
+                    if (taken) {
+                        named("proxy " + number);
+                    }
+                    yield taken;
                 }
                 case Resp.HEARD -> {
                     require(zone != null, "a report from no collector");
@@ -343,13 +357,23 @@
             send(message, UNREAD);
         }
 
+        /** Never fails, and leaves nothing behind, whenever the connection ends meanwhile. */
         private void send(byte[] message, int most) {
             int before = unread.getAndAdd(message.length);
             if (before > most) {
                 end("unread", before + " bytes wait");
-            } else if (reason == null) {
-                waiting.add(ByteBuffer.wrap(message));
+                return;
+            }
+            waiting.add(ByteBuffer.wrap(message));
+            if (ending.get() != null) {
+                waiting.clear();
+                return;
+            }
+            try {
                 session.setEvent(SelectionKey.OP_WRITE);
+            } catch (CancelledKeyException ended) {
+                // It ends this moment, and is told so.
+                waiting.clear();
             }
         }
 
@@ -369,9 +393,7 @@
         }
 
         private void end(String code, String what) {
-            if (reason == null) {
-                about = quoted(what);
-                reason = code;
+            if (ending.compareAndSet(null, new Ending(code, quoted(what)))) {
                 session.close(CloseMode.IMMEDIATE);
             }
         }
@@ -397,6 +419,7 @@
 
         @Override
         public void disconnected(IOSession same) {
+            ending.compareAndSet(null, new Ending("stopping", ""));
             parties.remove(this);
             newest.remove(name, this);
             unfinished -= resp.held() - Resp.USUAL;
@@ -404,7 +427,7 @@
             if (proxy >= 0) {
                 turns.left(proxy, this);
             }
-            LOG.info("closed {} from {}: {} {}{}", name, from, reason == null ? "stopping" : reason, about,
+            LOG.info("closed {} from {}: {} {}{}", name, from, ending.get().code, ending.get().about,
                     dropped > 0 ? "; " + dropped + " messages dropped" : "");
         }
     }
--- a/src/main/java/rockshift/net/Turns.java
+++ b/src/main/java/rockshift/net/Turns.java
@@ -39,6 +39,7 @@
     private final long spacing;
     /** Who else hears of the list, on the thread that brings it. */
     volatile Consumer<Roster.Listing> listing = list -> { };
+    private final List<LongConsumer> inputs = new ArrayList<>();
     private long wakeAt = Long.MAX_VALUE;
     private volatile boolean closed;
 
@@ -127,7 +128,6 @@
 
     @Override
     public void run() {
-        List<LongConsumer> inputs = new ArrayList<>();
         try {
             while (!closed) {
                 long pause = Math.max(0, Math.min(LONGEST_PAUSE, wakeAt - now()));
@@ -135,26 +135,30 @@
                 if (first != null) {
                     inputs.add(first);
                 }
-                queue.drainTo(inputs);
-                if (closed) {
-                    return;
+                if (!closed) {
+                    long rest = turn() + spacing - now();
+                    TimeUnit.NANOSECONDS.sleep(Math.max(0, rest) * NANOS_PER_TENTH);
                 }
-                long now = now();
-                inputs.forEach(input -> guarded(() -> input.accept(now)));
-                inputs.clear();
-                if (now >= wakeAt) {
-                    wakeAt = Long.MAX_VALUE;
-                    guarded(() -> logic.woken(now));
-                }
-                guarded(this::decide);
-                long rest = now + spacing - now();
-                TimeUnit.NANOSECONDS.sleep(Math.max(0, rest) * NANOS_PER_TENTH);
             }
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
         }
     }
 
+    /** Takes in what is queued, decides and sends; answers when it began. */
+    long turn() {
+        queue.drainTo(inputs);
+        long now = now();
+        inputs.forEach(input -> guarded(() -> input.accept(now)));
+        inputs.clear();
+        if (now >= wakeAt) {
+            wakeAt = Long.MAX_VALUE;
+            guarded(() -> logic.woken(now));
+        }
+        guarded(this::decide);
+        return now;
+    }
+
     private void decide() {
         try {
             while (logic.decide(tables)) {
--- /dev/null
+++ b/src/test/java/rockshift/net/StreamLifeTest.java
@@ -0,0 +1,331 @@
+package rockshift.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.lang.reflect.Proxy;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.CancelledKeyException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.hc.core5.reactor.IOEventHandler;
+import org.apache.hc.core5.reactor.IOSession;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import rockshift.Listed;
+
+/**
+ * One connection's life with each step taken by hand: bytes, ends and turns of the module come in just the order that a
+ * story or a seed has them come in.
+ */
+class StreamLifeTest {
+    private static final Map<String, String> TERMS = Map.of("zones", "east", "proxies", "4", "classes", "1",
+            "class.0.name", "cut", "channel.limit", "5000", "channel.pace", "5000", "message.head", "3");
+
+    private final Turns turns = new Turns(7, TERMS);
+    private final Streams streams = new Streams(turns, TERMS, 1024);
+
+    /** What the reactor would hand over: bytes that have come, and where bytes go. */
+    private final class Line {
+        final IOEventHandler handler;
+        private final ArrayDeque<byte[]> came = new ArrayDeque<>();
+        private final StringBuilder wrote = new StringBuilder();
+        private final IOSession session = (IOSession) Proxy.newProxyInstance(IOSession.class.getClassLoader(),
+                new Class<?>[] {IOSession.class}, (self, method, arguments) -> switch (method.getName()) {
+                    case "read" -> read((ByteBuffer) arguments[0]);
+                    case "write" -> write((ByteBuffer) arguments[0]);
+                    case "setEvent" -> event();
+                    case "close" -> close();
+                    case "getRemoteAddress" -> new InetSocketAddress(InetAddress.getLoopbackAddress(), 9);
+                    case "toString" -> "line";
+                    case "hashCode" -> System.identityHashCode(self);
+                    case "equals" -> self == arguments[0];
+                    default -> null;
+                });
+        /** Whether the selector has let go of it, as it does in the moment that it ends. */
+        boolean cancelled;
+        boolean closed;
+        boolean told;
+
+        Line() throws Exception {
+            handler = streams.connection(session);
+            handler.connected(session);
+        }
+
+        private Object read(ByteBuffer into) {
+            byte[] next = came.poll();
+            if (next == null) {
+                return -1;
+            }
+            into.put(next);
+            return next.length;
+        }
+
+        private Object write(ByteBuffer from) {
+            int count = from.remaining();
+            wrote.append(StandardCharsets.US_ASCII.decode(from));
+            return count;
+        }
+
+        private Object event() {
+            if (cancelled) {
+                throw new CancelledKeyException();
+            }
+            return null;
+        }
+
+        private Object close() {
+            closed = true;
+            return null;
+        }
+
+        /** Whole messages in one piece. */
+        Line say(String... messages) throws Exception {
+            StringBuilder all = new StringBuilder();
+            for (String message : messages) {
+                all.append(new String(Resp.message(List.of(message.split(" "))), StandardCharsets.US_ASCII));
+            }
+            return bytes(all.toString());
+        }
+
+        Line bytes(String text) throws Exception {
+            came.add(text.getBytes(StandardCharsets.US_ASCII));
+            if (!closed) {
+                handler.inputReady(session, null);
+            }
+            return this;
+        }
+
+        /** The other side's end, or the reactor's word that ours is carried out. */
+        void end() throws Exception {
+            if (!closed) {
+                came.clear();
+                handler.inputReady(session, null);
+            }
+            if (!told) {
+                told = true;
+                handler.disconnected(session);
+            }
+        }
+
+        /** What it is sent, as far as it was written. */
+        String sent() throws Exception {
+            if (!closed) {
+                handler.outputReady(session);
+            }
+            return wrote.toString();
+        }
+    }
+
+    private static String joined(int proxy) {
+        return "joined sidecar " + proxy + " az east share 10 standing 1";
+    }
+
+    private void list(long replica) {
+        turns.listed(List.of(new Listed(replica, "east", "plain", Listed.Health.READY, 0)), false, Map.of(replica, "s-" + replica));
+    }
+
+    @Test
+    void messagesInOnePieceWithTheEndCountOnceAndInOrder() throws Exception {
+        list(1);
+        Line line = new Line();
+        line.say(joined(3), "ping", "usage sidecar 3 kind cut n 1 bad 0 window 1000");
+        line.end();
+        turns.turn();
+        assertThat(line.sent()).as("it has left before the module's turn").isEmpty();
+        Line next = new Line().say(joined(3));
+        turns.turn();
+        assertThat(next.sent()).contains("update").contains("s-1");
+    }
+
+    /** Nothing that comes behind what ends a connection is taken, though it was read in the same piece. */
+    @Test
+    void whatComesBehindAnUnreadableMessageDoesNotCount() throws Exception {
+        list(1);
+        Line line = new Line();
+        line.bytes("nonsense\r\n" + new String(Resp.message(List.of(joined(3).split(" "))), StandardCharsets.US_ASCII));
+        turns.turn();
+        assertThat(line.closed).isTrue();
+        assertThat(line.sent()).isEmpty();
+    }
+
+    /** The module's thread sent as the selector let the connection go: the failure ended its whole turn, and with it what others were owed. */
+    @Test
+    void aConnectionThatEndsAsItIsSentToCostsNobodyElseHisMessage() throws Exception {
+        list(1);
+        Line ending = new Line().say(joined(0));
+        Line other = new Line().say(joined(1));
+        ending.cancelled = true;
+        turns.turn();
+        assertThat(other.sent()).contains("update").contains("s-1");
+        ending.end();
+        turns.turn();
+    }
+
+    /** Both orders of the old stream's end and the new stream's joining. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void theNewStreamOfAProxyHoldsWhicheverComesFirst(boolean endFirst) throws Exception {
+        list(1);
+        Line old = new Line().say(joined(2));
+        turns.turn();
+        assertThat(old.sent()).contains("s-1");
+        Line fresh = new Line();
+        if (endFirst) {
+            old.end();
+            fresh.say(joined(2));
+        } else {
+            fresh.say(joined(2));
+            assertThat(old.closed).as("ended by the new one").isTrue();
+            old.end();
+        }
+        turns.turn();
+        assertThat(fresh.sent()).contains("whole").contains("s-1");
+        list(2);
+        turns.turn();
+        assertThat(fresh.sent()).as("it is the proxy's still").contains("s-2");
+    }
+
+    /** Was a joining refused, the proxy's old stream would be gone for nothing: it never is, as its connection has nothing waiting yet. */
+    @Test
+    void aJoiningIsTakenHoweverMuchOfOthersWaits() throws Exception {
+        list(1);
+        Line good = new Line().say(joined(2));
+        turns.turn();
+        AtomicInteger flood = new AtomicInteger();
+        while (turns.heard(flood, "east", 1, 1, 0, 1, 1, null)) {
+            continue;
+        }
+        Line fresh = new Line().say("ping", joined(2));
+        assertThat(fresh.closed).isFalse();
+        assertThat(good.closed).as("replaced").isTrue();
+        turns.turn();
+        assertThat(fresh.sent()).contains("s-1");
+    }
+
+    /** A mark of the old stream means nothing on the new one. */
+    @Test
+    void aMarkOfAnotherStreamIsNoAnswer() throws Exception {
+        list(1);
+        Line old = new Line().say(joined(2));
+        turns.turn();
+        Line fresh = new Line().say("ping", joined(2), "applied sidecar 2 version 1 lag_ms 5");
+        old.handler.inputReady(old.session, null);
+        turns.turn();
+        assertThat(fresh.sent()).contains("ticket");
+    }
+
+    /** As the process is told to end: the turn in hand is the last, whatever was told meanwhile. */
+    @Test
+    void afterTheEndNothingIsDecidedAnyMore() throws Exception {
+        list(1);
+        CountDownLatch sending = new CountDownLatch(1);
+        CountDownLatch closed = new CountDownLatch(1);
+        AtomicInteger sent = new AtomicInteger();
+        turns.joined(new AtomicInteger(), 0, "east", 1, message -> {
+            sent.incrementAndGet();
+            sending.countDown();
+            try {
+                closed.await();
+            } catch (InterruptedException hurried) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        Thread module = new Thread(turns, "turns");
+        module.start();
+        sending.await();
+        turns.joined(new AtomicInteger(), 1, "east", 1, message -> sent.incrementAndGet());
+        list(2);
+        turns.close();
+        closed.countDown();
+        module.join();
+        assertThat(sent).hasValue(1);
+    }
+
+    /** What one proxy's connections should come to, by the messages alone. */
+    private static final class Model {
+        private final Line[] current = new Line[4];
+
+        void joined(int proxy, Line line) {
+            current[proxy] = line;
+        }
+
+        void ended(Line line) {
+            for (int i = 0; i < current.length; i++) {
+                current[i] = current[i] == line ? null : current[i];
+            }
+        }
+    }
+
+    /**
+     * Joins, replacements, ends, spoilt messages and marks in any order, with turns of the module anywhere between. In the end
+     * each proxy that has a stream hears of a change on that one, and nobody else hears of it.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    void anyLifeEndsAsThePlainModelSays(long seed) throws Exception {
+        Random chance = new Random(seed);
+        Model model = new Model();
+        List<Line> lines = new ArrayList<>();
+        List<Integer> proxies = new ArrayList<>();
+        list(1);
+        for (int step = 0; step < 200; step++) {
+            Line line = lines.isEmpty() ? null : lines.get(chance.nextInt(lines.size()));
+            switch (chance.nextInt(7)) {
+                case 0, 1 -> {
+                    int proxy = chance.nextInt(4);
+                    Line fresh = new Line().say(joined(proxy));
+                    lines.add(fresh);
+                    proxies.add(proxy);
+                    model.joined(proxy, fresh);
+                }
+                case 2 -> {
+                    if (line != null) {
+                        line.end();
+                        model.ended(line);
+                    }
+                }
+                case 3 -> {
+                    if (line != null) {
+                        line.say("applied sidecar " + proxies.get(lines.indexOf(line)) + " version " + chance.nextInt(9)
+                                + " lag_ms 1", "later", "usage sidecar x");
+                    }
+                }
+                case 4 -> {
+                    if (line != null && !line.closed) {
+                        line.bytes("nonsense\r\n");
+                        model.ended(line);
+                    }
+                }
+                case 5 -> {
+                    if (line != null && line.closed) {
+                        line.cancelled = true;
+                    }
+                }
+                default -> turns.turn();
+            }
+        }
+        turns.turn();
+        for (Line line : lines) {
+            if (line.closed) {
+                line.end();
+            }
+        }
+        turns.turn();
+        list(2);
+        turns.turn();
+        for (int i = 0; i < lines.size(); i++) {
+            boolean holds = model.current[proxies.get(i)] == lines.get(i);
+            assertThat(lines.get(i).sent().contains("s-2")).as("stream " + i + " of proxy " + proxies.get(i)).isEqualTo(holds);
+            assertThat(lines.get(i).closed).as("only the newest stream of a proxy is up").isNotEqualTo(holds);
+        }
+    }
+}
