--- a/src/main/java/rockshift/Known.java
+++ b/src/main/java/rockshift/Known.java
@@ -34,6 +34,10 @@
     /** By class, what came; the tries seen; and the time that both and answers cover. */
     final double[] came;
     double tried;
+    /** Answers, the tenths of a ms that they took together, and the shortest mean of that so far. */
+    double answers;
+    double answerTime;
+    private double leastTime = Double.MAX_VALUE;
     double flowTime;
     double heardTime;
     /** The same, begun with the first report's span instead of the time until it was taken in. */
@@ -60,6 +64,23 @@
         return value == null || value.isEmpty() ? otherwise : Double.parseDouble(value);
     }
 
+    /** What came and was met counts less as time passes. */
+    final void fadeFlow(double kept) {
+        tried *= kept;
+        answers *= kept;
+        answerTime *= kept;
+        for (int k = 0; k < classes; k++) {
+            came[k] *= kept;
+        }
+    }
+
+    /** The part of their time that answers lately waited: what they take beyond the shortest mean so far. */
+    final double waited() {
+        double took = answers > 0 ? answerTime / answers : Double.MAX_VALUE;
+        leastTime = Math.min(leastTime, took);
+        return took > 0 ? 1 - leastTime / took : 0;
+    }
+
     /** The list: changes only, or the whole of it. */
     public void listed(long now, List<Listed> entries, boolean changes) {
         this.now = now;
@@ -144,6 +165,8 @@
         Replica replica = replicas.get(id);
         if (replica != null) {
             tried += count;
+            answers += Math.max(0, count - failed);
+            answerTime += Math.max(0, count - failed) * (double) took;
             heardTime = heardTime == 0 ? span : heardTime;
             replica.heard(zone, count, failed, took > promised ? count - failed : 0, busy);
         }
--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -46,6 +46,8 @@
     private static final double PRIOR = 15;
     /** Share: a load report below it is mostly noise, and a rate over it would be as well. */
     private static final double LEAST_LOAD = 0.05;
+    /** Part of their time: answers that seem to wait less may as well have brought less work. */
+    private static final double LEAST_WAITED = 0.25;
     /** Tenths of a ms: memory of failures; short, as a failing replica does harm at once. */
     private static final double HEALTH_MEMORY = 50_000;
     /** Tenths of a ms: memory of a proxy's rate; short, as callers come and go, but a few reports long; and
@@ -161,6 +163,8 @@
     private double usualThen;
     private double usualFlow;
     private double fleetLoad;
+    /** The load of a replica that tells none. */
+    private double untold = 1;
     private double medianFailures;
     private long pausedUntil;
     private long warnedAt;
@@ -474,9 +478,8 @@
                     + (first ? 0 : CAPACITY_MEMORY * (1 - capacityKept));
             heardTime = heardTime * capacityKept + CAPACITY_MEMORY * (1 - capacityKept);
             flowTime = flowTime * flowKept + FLOW_MEMORY * (1 - flowKept);
-            tried *= flowKept;
+            fadeFlow(flowKept);
             for (int k = 0; k < classes; k++) {
-                came[k] *= flowKept;
                 letIn[k] = letIn[k] * flowKept + level[k] * (1 - flowKept);
             }
         }
@@ -557,6 +560,11 @@
      * alone follows the weight that it was given, and feeds on itself. Few answers lean on the kind's mean.
      */
     private void estimate() {
+        // Where nobody tells a load, what answers waited does: a part of their time that is the load's square, as
+        // two cores wait. Taken for full, a fleet would be let in 0.8 of what it answers, ever less. Guards against
+        // failures of the network that look like too much work; cold replicas look like it all the same.
+        untold = links.stream().anyMatch(link -> link.busyTries > 0) ? 1
+                : Math.sqrt(Math.max(LEAST_WAITED, waited()));
         TreeMap<String, DoubleSummaryStatistics> kinds = new TreeMap<>();
         DoubleSummaryStatistics fleet = new DoubleSummaryStatistics();
         for (Replica replica : links) {
@@ -596,10 +604,8 @@
             replica.capacity = sum > 0 ? replica.capacity / sum : 0;
         }
         for (Request request : requests) {
-            request.utopic = 0;
-            for (Path path : request.paths.values()) {
-                request.utopic += open(path) ? path.link.capacity : 0;
-            }
+            request.utopic = request.paths.values().stream().filter(this::open)
+                    .mapToDouble(path -> path.link.capacity).sum();
             for (Path path : request.paths.values()) {
                 boolean known = path.open && request.oldWeight > 0
                         && path.link.oldCapacity > 0 && path.link.capacity > 0;
@@ -623,8 +629,8 @@
     }
 
     /** Share of its time that a replica was busy, for all who send to it. */
-    private static double busy(Replica replica) {
-        return replica.busyTries > 0 ? Math.max(LEAST_LOAD, replica.busySum / replica.busyTries) : 1;
+    private double busy(Replica replica) {
+        return Math.max(LEAST_LOAD, replica.busyTries > 0 ? replica.busySum / replica.busyTries : untold);
     }
 
     /** Shunned near means for all, shunned far for those of other zones. */
@@ -749,16 +755,9 @@
 
     /** The link's copies: the nearest point whose sum stays within the capacity. */
     private void project(Replica link, double penalty) {
-        double[] sorted = new double[link.used.size()];
-        for (int i = 0; i < sorted.length; i++) {
-            Path path = link.used.get(i);
-            path.z = path.open ? path.mean + penalty * path.dual : 0;
-            sorted[i] = path.z;
-        }
-        double cut = Simplex.cut(sorted, link.capacity);
-        for (Path path : link.used) {
-            path.z = Math.max(0, path.z - cut);
-        }
+        link.used.forEach(path -> path.z = path.open ? path.mean + penalty * path.dual : 0);
+        double cut = Simplex.cut(link.used.stream().mapToDouble(path -> path.z).toArray(), link.capacity);
+        link.used.forEach(path -> path.z = Math.max(0, path.z - cut));
     }
 
     /** A line of a request's table, or its level where no path is named, and how much it matters. */
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -772,6 +772,34 @@
         assertThat(host.levels.getOrDefault(0, 1.0)).isLessThan(0.9);
     }
 
+    private static Report untold(long replica, int failed, long took) {
+        return new Report(replica, 40, failed, null, took);
+    }
+
+    /**
+     * Lagoon-charts, split+mass, where replicas tell a queue and a time but no load: all counted as full, and were let in 0.8
+     * of what they answered. Answers that the network lost began it; half was refused while nobody waited.
+     */
+    @Test
+    void whereNobodyTellsALoadPromptAnswersShowAFleetWithRoom() {
+        FakeHost host = new FakeHost().fleet(4);
+        for (int i = 0; i < 30; i++) {
+            int lost = i >= 10 && i < 15 ? 12 : 0;
+            host.second(untold(1, lost, 2_000), untold(2, lost, 2_400), untold(3, lost, 2_200), untold(4, lost, 2_100));
+            assertThat(host.levels.getOrDefault(0, 1.0)).as("second " + i).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void whereNobodyTellsALoadAnswersThatWaitShowAFullOne() {
+        FakeHost host = new FakeHost().fleet(4);
+        for (int i = 0; i < 40; i++) {
+            long took = i < 10 ? 2_000 : 30_000;
+            host.second(untold(1, 0, took), untold(2, 0, took), untold(3, 0, took), untold(4, 0, took));
+        }
+        assertThat(host.levels.get(0)).isBetween(0.5, 0.95);
+    }
+
     // ---- a long day ----
 
     /** Under new ids all day: nothing is left of the first, not even in a hall whose proxies all went elsewhere. */
