--- a/src/main/java/rockshift/net/Charter.java
+++ b/src/main/java/rockshift/net/Charter.java
@@ -21,7 +21,7 @@
  * had, and its terms. It is what one reading found and never changes, and what is missing is named.
  */
 record Charter(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int descriptors,
-        Roster.Listing known, Map<String, String> terms) {
+        DiscoveryClient.Listing known, Map<String, String> terms) {
     /** Descriptors where none are told: what is usual for a process. */
     private static final int USUAL_DESCRIPTORS = 1024;
     /** Tenths of a ms in a second. */
@@ -45,7 +45,7 @@
         InetSocketAddress discovery = null;
         Long seed = null;
         int descriptors = USUAL_DESCRIPTORS;
-        Roster.Listing known = null;
+        DiscoveryClient.Listing known = null;
         Terms terms = new Terms();
         String field = "";
         try (JsonParser json = new JsonFactory().createParser(new File(file))) {
@@ -60,7 +60,7 @@
                     case "listen" -> listen = address(json.getText());
                     case "discovery" -> discovery = address(json.getText());
                     case "seed" -> seed = Long.parseUnsignedLong(json.getText(), 16);
-                    case "known" -> known = Roster.read(json);
+                    case "known" -> known = DiscoveryClient.read(json);
                     case "limits" -> descriptors = sockets(json, descriptors);
                     case "settings" -> flatten("", json, terms);
                     default -> json.skipChildren();
--- a/src/main/java/rockshift/net/Roster.java
+++ b/src/main/java/rockshift/net/DiscoveryClient.java
@@ -45,8 +45,8 @@
  * which the module knows them. It owns the connection to discovery and the version of the list that is held. Whatever discovery does, it
  * must never lose the list that it has, and never wait longer than the limits here.
  */
-final class Roster implements Runnable {
-    private static final Logger LOG = LoggerFactory.getLogger(Roster.class);
+final class DiscoveryClient implements Runnable {
+    private static final Logger LOG = LoggerFactory.getLogger(DiscoveryClient.class);
     /**
      * Ms that a watch may be held. One that fell silent shows it only when this is over, and the grace of whoever
      * drains meanwhile runs: a third of the grace that is usual. A call costs the agent beside nothing.
@@ -72,12 +72,12 @@
     /** A list as it came, whole or what changed, with the names that its replicas have outside. */
     record Listing(long version, boolean whole, List<Listed> entries, Map<Long, String> names) { }
 
-    private final Thread thread = new Thread(this, "roster");
+    private final Thread thread = new Thread(this, "discovery-client");
     private final Turns turns;
     /** Where discovery is from now on, as told last. An interrupt only hurries the thread, and may be lost. */
     private volatile HttpHost told;
     private volatile boolean closed;
-    // Used by the roster's thread alone: the address that is watched, and how it stands there.
+    // Used by the client's thread alone: the address that is watched, and how it stands there.
     private HttpHost host;
     HttpAsyncRequester client;
     private AsyncClientEndpoint endpoint;
@@ -85,7 +85,7 @@
     private int late = LATE;
     private String complaint = "";
 
-    Roster(InetSocketAddress discovery, Turns turns) {
+    DiscoveryClient(InetSocketAddress discovery, Turns turns) {
         told = host(discovery);
         this.turns = turns;
     }
--- a/src/main/java/rockshift/net/Inlet.java
+++ b/src/main/java/rockshift/net/Inlet.java
@@ -18,7 +18,7 @@
         turns.listing = this::hear;
     }
 
-    private synchronized void hear(Roster.Listing listing) {
+    private synchronized void hear(DiscoveryClient.Listing listing) {
         if (listing.whole()) {
             listed.clear();
         }
@@ -40,7 +40,7 @@
     /** What stands agreed since a version: by replica's name, up to which start (tenths of a ms) it is kept out. */
     public void agreed(long version, Map<String, Long> out, Map<String, String> terms) {
         Map<Long, Long> numbered = new HashMap<>();
-        out.forEach((name, start) -> numbered.put(Roster.number(name), start));
+        out.forEach((name, start) -> numbered.put(DiscoveryClient.number(name), start));
         turns.agreed(version, numbered, terms);
     }
 
--- a/src/main/java/rockshift/net/Serve.java
+++ b/src/main/java/rockshift/net/Serve.java
@@ -9,7 +9,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * A governor on sockets, put together from its parts: the charter, the module's thread, the roster and the
+ * A governor on sockets, put together from its parts: the charter, the module's thread, the client of discovery and the
  * streams. It owns their start and their end, in whatever order these are asked for, and what a reload changes. It must
  * never take part in what the parts do, and no file may end what serves.
  */
@@ -24,7 +24,7 @@
     private final Charter charter;
     private final Turns turns;
     private final Thread turning;
-    private final Roster roster;
+    private final DiscoveryClient discovery;
     private final Streams streams;
     private final Companion companion;
     private final Inlet inlet;
@@ -42,9 +42,9 @@
         this.companion = companion;
         turns = new Turns(charter.seed(), charter.terms());
         inlet = companion == null ? null : new Inlet(turns);
-        Roster.take(charter.known(), turns);
+        DiscoveryClient.take(charter.known(), turns);
         turning = new Thread(turns, "turns");
-        roster = new Roster(charter.discovery(), turns);
+        discovery = new DiscoveryClient(charter.discovery(), turns);
         streams = new Streams(turns, charter.terms(), charter.descriptors());
     }
 
@@ -63,7 +63,7 @@
                 throw new IOException("cannot listen on " + charter.listen() + ": " + failure.getMessage(), failure);
             }
             turning.start();
-            roster.start();
+            discovery.start();
         }
         LOG.info("{} serves on {}, port {}", charter.name(), charter.listen().getHostString(), port);
         if (streams.beyond() > 0) {
@@ -93,7 +93,7 @@
                     String fixed = charter.fixed(anew);
                     LOG.info("{} read again, discovery at {}:{}{}", file, anew.discovery().getHostString(),
                             anew.discovery().getPort(), fixed.isEmpty() ? "" : "; takes a restart: " + fixed);
-                    roster.follow(anew.discovery());
+                    discovery.follow(anew.discovery());
                 }
             } catch (Charter.Unusable wrong) {
                 LOG.warn("{}; the file before stays in force", wrong.getMessage());
@@ -111,7 +111,7 @@
         synchronized (this) {
             closed = true;
             turning.interrupt();
-            roster.close();
+            discovery.close();
             streams.close();
         }
         if (companion != null) {
--- a/src/main/java/rockshift/net/Streams.java
+++ b/src/main/java/rockshift/net/Streams.java
@@ -308,7 +308,7 @@
                     int count = counted();
                     int failed = resp.whole(Resp.FAILED);
                     field(failed <= count, Resp.FAILED);
-                    yield turns.heard(queued, zone, Roster.number(resp.text(Resp.REPLICA)), count, failed,
+                    yield turns.heard(queued, zone, DiscoveryClient.number(resp.text(Resp.REPLICA)), count, failed,
                             tenths(Resp.MEAN_TIME), tenths(Resp.SPAN), busy());
                 }
                 case Resp.USAGE -> {
--- a/src/main/java/rockshift/net/Turns.java
+++ b/src/main/java/rockshift/net/Turns.java
@@ -38,7 +38,7 @@
     /** Tenths of a ms between two turns: what is told at start. */
     private final long spacing;
     /** Who else hears of the list, on the thread that brings it. */
-    volatile Consumer<Roster.Listing> listing = list -> { };
+    volatile Consumer<DiscoveryClient.Listing> listing = list -> { };
     private final List<LongConsumer> inputs = new ArrayList<>();
     private long wakeAt = Long.MAX_VALUE;
     private volatile boolean closed;
@@ -114,7 +114,7 @@
 
     /** A list is never refused: it comes one at a time. */
     void listed(List<Listed> entries, boolean changes, Map<Long, String> names) {
-        listing.accept(new Roster.Listing(0, !changes, entries, names));
+        listing.accept(new DiscoveryClient.Listing(0, !changes, entries, names));
         queue.add(now -> {
             tables.listed(entries, changes, names);
             logic.listed(now, entries, changes);
--- a/src/test/java/rockshift/net/DiscoveryTest.java
+++ b/src/test/java/rockshift/net/DiscoveryTest.java
@@ -28,8 +28,8 @@
 
     private final Scripted scripted = new Scripted(50);
     private final Turns turns = new Turns(7, Map.of("zones", "east", "classes", "0"));
-    private final List<Roster.Listing> taken = Collections.synchronizedList(new ArrayList<>());
-    private Roster roster;
+    private final List<DiscoveryClient.Listing> taken = Collections.synchronizedList(new ArrayList<>());
+    private DiscoveryClient client;
 
     /** Takes a connection, reads a call and writes an answer when it is told to, and not before. */
     private static final class Scripted implements AutoCloseable {
@@ -80,25 +80,25 @@
         return "GET /discovery/hosts?index=" + version + "&wait=1000 HTTP/1.1";
     }
 
-    private Roster begun() {
+    private DiscoveryClient begun() {
         turns.listing = taken::add;
         return begun(scripted);
     }
 
-    private Roster begun(Scripted at) {
-        roster = new Roster(at.address(), turns);
-        roster.start();
-        return roster;
+    private DiscoveryClient begun(Scripted at) {
+        client = new DiscoveryClient(at.address(), turns);
+        client.start();
+        return client;
     }
 
     private static boolean runs() {
-        return Thread.getAllStackTraces().keySet().stream().anyMatch(thread -> thread.getName().equals("roster"));
+        return Thread.getAllStackTraces().keySet().stream().anyMatch(thread -> thread.getName().equals("discovery-client"));
     }
 
     @AfterEach
     void end() throws IOException {
-        if (roster != null) {
-            roster.close();
+        if (client != null) {
+            client.close();
             await("its thread ends", () -> !runs());
         }
         scripted.close();
@@ -106,12 +106,12 @@
 
     // ---- another address, and the end ----
 
-    /** Holds the roster's thread as it hands on a list, and lets no interrupt out: what any code on the way may do. */
+    /** Holds the client's thread as it hands on a list, and lets no interrupt out: what any code on the way may do. */
     private final class Swallowing {
         final CountDownLatch entered = new CountDownLatch(1);
         private final CountDownLatch interrupted = new CountDownLatch(1);
 
-        void hold(Roster.Listing listing) {
+        void hold(DiscoveryClient.Listing listing) {
             entered.countDown();
             try {
                 new CountDownLatch(1).await();
@@ -126,7 +126,7 @@
     void anAddressIsLeftThoughTheInterruptIsLost() throws Exception {
         Swallowing swallowing = new Swallowing();
         turns.listing = swallowing::hold;
-        Roster moved = begun(scripted);
+        DiscoveryClient moved = begun(scripted);
         Scripted.say(scripted.called(WHOLE), Discovery.http(list(41, true, entry("s-1", "Ready", 0))));
         swallowing.entered.await();
         try (Scripted other = new Scripted(50)) {
@@ -146,7 +146,7 @@
         begun(scripted);
         Scripted.say(scripted.called(WHOLE), Discovery.http(list(41, true, entry("s-1", "Ready", 0))));
         swallowing.entered.await();
-        roster.close();
+        client.close();
         await("its thread ends", () -> !runs());
     }
 
@@ -158,7 +158,7 @@
         Socket old = scripted.called(WHOLE);
         Scripted.say(old, half);
         try (Scripted other = new Scripted(50)) {
-            roster.follow(other.address());
+            client.follow(other.address());
             Scripted.say(other.called(WHOLE), Discovery.http(list(3, true, entry("s-2", "Ready", 0))));
             await("its list", () -> taken.size() == 1);
             assertThat(old.getInputStream().read()).as("the old connection is ended").isNegative();
@@ -171,8 +171,8 @@
         Socket first = scripted.called(WHOLE);
         Scripted.say(first, Discovery.http(list(41, true, entry("s-1", "Ready", 0))));
         assertThat(Discovery.call(first)).isEqualTo(watch(41));
-        roster.follow(new InetSocketAddress("127.0.0.1", 9));
-        roster.follow(scripted.address());
+        client.follow(new InetSocketAddress("127.0.0.1", 9));
+        client.follow(scripted.address());
         scripted.called(WHOLE);
     }
 
@@ -242,7 +242,7 @@
         Socket first = scripted.called(WHOLE);
         Scripted.say(first, Discovery.http(list(41, true, entry("s-1", "Ready", 0))));
         assertThat(Discovery.call(first)).isEqualTo(watch(41));
-        roster.client.close(CloseMode.IMMEDIATE);
+        client.client.close(CloseMode.IMMEDIATE);
         Scripted.say(scripted.called(watch(41)), Discovery.http(list(42, false, entry("s-1", "Terminating", 0))));
         await("the change", () -> taken.size() == 2);
     }
