--- a/src/main/java/rockshift/net/DiscoveryClient.java
+++ b/src/main/java/rockshift/net/DiscoveryClient.java
@@ -73,7 +73,7 @@
     record Listing(long version, boolean whole, List<Listed> entries, Map<Long, String> names) { }
 
     private final Thread thread = new Thread(this, "discovery-client");
-    private final Turns turns;
+    private final EventLoop loop;
     /** Where discovery is from now on, as told last. An interrupt only hurries the thread, and may be lost. */
     private volatile HttpHost told;
     private volatile boolean closed;
@@ -85,9 +85,9 @@
     private int late = LATE;
     private String complaint = "";
 
-    DiscoveryClient(InetSocketAddress discovery, Turns turns) {
+    DiscoveryClient(InetSocketAddress discovery, EventLoop loop) {
         told = host(discovery);
-        this.turns = turns;
+        this.loop = loop;
     }
 
     /** The number of a replica: the same at every governor and after every start, as its name is. */
@@ -100,8 +100,8 @@
         }
     }
 
-    static void take(Listing listing, Turns turns) {
-        turns.listed(listing.entries, !listing.whole, listing.names);
+    static void take(Listing listing, EventLoop loop) {
+        loop.listed(listing.entries, !listing.whole, listing.names);
     }
 
     private static HttpHost host(InetSocketAddress address) {
@@ -156,7 +156,7 @@
                 Listing listing = ask();
                 follows(listing);
                 version = listing.version;
-                take(listing, turns);
+                take(listing, loop);
                 complaint = "";
                 late = LATE;
             } catch (IOException | ExecutionException | TimeoutException | RuntimeException failure) {
@@ -301,7 +301,7 @@
                 case "zone" -> zone = text(json);
                 case "machineType" -> kind = text(json);
                 case "lifecycle" -> health = Terms.health(text(json));
-                case "startedAtMs" -> started = Math.round(json.getDoubleValue() * Turns.TENTHS_PER_MILLI);
+                case "startedAtMs" -> started = Math.round(json.getDoubleValue() * EventLoop.TENTHS_PER_MILLI);
                 default -> json.skipChildren();
             }
         }
--- a/src/main/java/rockshift/net/Turns.java
+++ b/src/main/java/rockshift/net/EventLoop.java
@@ -19,8 +19,8 @@
  * what is queued, pulls decisions until there is none, and sends what they ordered. It must never wait for a
  * socket, and nothing that one input does wrong may end it.
  */
-final class Turns implements Runnable {
-    private static final Logger LOG = LoggerFactory.getLogger(Turns.class);
+final class EventLoop implements Runnable {
+    private static final Logger LOG = LoggerFactory.getLogger(EventLoop.class);
     /** Entries of about 100 bytes that may wait before who has many must stop: a long pause brings less. */
     static final int MOST_WAITING = 20_000;
     /** Entries of one party that may wait then: those of all parties stay under a third of the heap. */
@@ -43,7 +43,7 @@
     private long wakeAt = Long.MAX_VALUE;
     private volatile boolean closed;
 
-    Turns(long seed, Map<String, String> terms) {
+    EventLoop(long seed, Map<String, String> terms) {
         logic = new Logic(now(), seed, terms);
         tables = new Tables(Charter.classNames(terms), delay -> wakeAt = now() + delay);
         spacing = Long.parseLong(terms.getOrDefault("turn.spacing", "0"));
--- a/src/main/java/rockshift/net/Inlet.java
+++ b/src/main/java/rockshift/net/Inlet.java
@@ -10,12 +10,12 @@
  * owns the view of the list that is needed before a change is asked for; it decides nothing of what follows from one.
  */
 public final class Inlet {
-    private final Turns turns;
+    private final EventLoop loop;
     private final Map<String, Listed> listed = new HashMap<>();
 
-    Inlet(Turns turns) {
-        this.turns = turns;
-        turns.listing = this::hear;
+    Inlet(EventLoop loop) {
+        this.loop = loop;
+        loop.listing = this::hear;
     }
 
     private synchronized void hear(DiscoveryClient.Listing listing) {
@@ -41,10 +41,10 @@
     public void agreed(long version, Map<String, Long> out, Map<String, String> terms) {
         Map<Long, Long> numbered = new HashMap<>();
         out.forEach((name, start) -> numbered.put(DiscoveryClient.number(name), start));
-        turns.agreed(version, numbered, terms);
+        loop.agreed(version, numbered, terms);
     }
 
     public void reach(Reach reach) {
-        turns.reach(reach);
+        loop.reach(reach);
     }
 }
--- a/src/main/java/rockshift/net/Serve.java
+++ b/src/main/java/rockshift/net/Serve.java
@@ -22,8 +22,8 @@
     private static final long LOOK = 1_000;
 
     private final Charter charter;
-    private final Turns turns;
-    private final Thread turning;
+    private final EventLoop loop;
+    private final Thread thread;
     private final DiscoveryClient discovery;
     private final Streams streams;
     private final Companion companion;
@@ -40,12 +40,12 @@
     Serve(Charter charter, Companion companion) {
         this.charter = charter;
         this.companion = companion;
-        turns = new Turns(charter.seed(), charter.terms());
-        inlet = companion == null ? null : new Inlet(turns);
-        DiscoveryClient.take(charter.known(), turns);
-        turning = new Thread(turns, "turns");
-        discovery = new DiscoveryClient(charter.discovery(), turns);
-        streams = new Streams(turns, charter.terms(), charter.descriptors());
+        loop = new EventLoop(charter.seed(), charter.terms());
+        inlet = companion == null ? null : new Inlet(loop);
+        DiscoveryClient.take(charter.known(), loop);
+        thread = new Thread(loop, "event-loop");
+        discovery = new DiscoveryClient(charter.discovery(), loop);
+        streams = new Streams(loop, charter.terms(), charter.descriptors());
     }
 
     void start() throws IOException, InterruptedException {
@@ -62,7 +62,7 @@
                 streams.close();
                 throw new IOException("cannot listen on " + charter.listen() + ": " + failure.getMessage(), failure);
             }
-            turning.start();
+            thread.start();
             discovery.start();
         }
         LOG.info("{} serves on {}, port {}", charter.name(), charter.listen().getHostString(), port);
@@ -107,10 +107,10 @@
      */
     @Override
     public void close() throws InterruptedException {
-        turns.close();
+        loop.close();
         synchronized (this) {
             closed = true;
-            turning.interrupt();
+            thread.interrupt();
             discovery.close();
             streams.close();
         }
@@ -161,7 +161,7 @@
         if (signals.hangupIgnored()) {
             serve.watch(file, seen);
         }
-        serve.turning.join();
+        serve.thread.join();
         return FAILED;
     }
 
@@ -171,7 +171,7 @@
      */
     private void watch(String file, String before) throws InterruptedException {
         LOG.warn("SIGHUP is ignored by whoever started this process: {} is looked at every second instead", file);
-        for (String seen = before; turning.isAlive(); turning.join(LOOK)) {
+        for (String seen = before; thread.isAlive(); thread.join(LOOK)) {
             String now = stamp(file);
             if (!now.equals(seen)) {
                 seen = now;
--- a/src/main/java/rockshift/net/Streams.java
+++ b/src/main/java/rockshift/net/Streams.java
@@ -75,7 +75,7 @@
     private static final int FAREWELL = 300;
     private static final byte[] PONG = Resp.message(List.of(Resp.PONG));
 
-    private final Turns turns;
+    private final EventLoop loop;
     private final Set<String> zones;
     private final List<String> classes;
     private final int proxies;
@@ -94,8 +94,8 @@
     private int counted;
     private final Map<String, Integer> unlogged = new TreeMap<>();
 
-    Streams(Turns turns, Map<String, String> terms, int descriptors) {
-        this.turns = turns;
+    Streams(EventLoop loop, Map<String, String> terms, int descriptors) {
+        this.loop = loop;
         zones = Set.of(terms.get("zones").split(","));
         classes = Charter.classNames(terms);
         proxies = (int) Double.parseDouble(terms.get("proxies"));
@@ -296,7 +296,7 @@
                     double rate = resp.number(Resp.USUAL_RATE);
                     proxy = number;
                     // Its old connection is ended only where this one is taken.
-                    boolean taken = turns.joined(queued, number, told, rate, this);
+                    boolean taken = loop.joined(queued, number, told, rate, this);
                     if (taken) {
                         named("proxy " + number);
                     }
@@ -308,7 +308,7 @@
                     int count = counted();
                     int failed = resp.whole(Resp.FAILED);
                     field(failed <= count, Resp.FAILED);
-                    yield turns.heard(queued, zone, DiscoveryClient.number(resp.text(Resp.REPLICA)), count, failed,
+                    yield loop.heard(queued, zone, DiscoveryClient.number(resp.text(Resp.REPLICA)), count, failed,
                             tenths(Resp.MEAN_TIME), tenths(Resp.SPAN), busy());
                 }
                 case Resp.USAGE -> {
@@ -319,13 +319,13 @@
                     field(classes.contains(type), Resp.CLASS);
                     // What failed may have come before the span: more can have failed in it than came.
                     resp.whole(Resp.FAILED);
-                    yield turns.usage(queued, number, type, counted(), tenths(Resp.SPAN));
+                    yield loop.usage(queued, number, type, counted(), tenths(Resp.SPAN));
                 }
                 case Resp.APPLIED -> {
                     require(proxy >= 0, "a mark of no proxy");
                     field(resp.whole(Resp.PROXY) == proxy, Resp.PROXY);
                     resp.number(Resp.DELAY);
-                    yield turns.applied(queued, proxy, resp.whole(Resp.SERIAL), this);
+                    yield loop.applied(queued, proxy, resp.whole(Resp.SERIAL), this);
                 }
                 default -> throw new Resp.Spoilt("unknown-kind", "'" + resp.kind() + "'");
             };
@@ -365,7 +365,7 @@
         private long tenths(String name) throws Resp.Spoilt {
             double millis = resp.number(name);
             field(millis <= LONGEST, name);
-            return (long) (millis * Turns.TENTHS_PER_MILLI);
+            return (long) (millis * EventLoop.TENTHS_PER_MILLI);
         }
 
         /** A replica's load where one is told; a report of load without it is spoilt where the terms have it. */
@@ -449,7 +449,7 @@
             unfinished -= resp.held() - Resp.USUAL;
             waiting.clear();
             if (proxy >= 0) {
-                turns.left(proxy, this);
+                loop.left(proxy, this);
             }
             if (stranger() && !logged(ending.get().code)) {
                 return;
--- a/src/main/java/rockshift/net/Tables.java
+++ b/src/main/java/rockshift/net/Tables.java
@@ -21,7 +21,7 @@
 
 /**
  * What each table, level, binding and withdrawal stands at, and so what each joined proxy is sent: one
- * message a turn. It is used by the thread of {@link Turns} alone. It must never decide what stands in a
+ * message a turn. It is used by the thread of {@link EventLoop} alone. It must never decide what stands in a
  * table, hold a message back, or add a line that the module is not told of.
  */
 final class Tables implements Orders {
--- a/src/test/java/rockshift/net/DiscoveryTest.java
+++ b/src/test/java/rockshift/net/DiscoveryTest.java
@@ -27,7 +27,7 @@
     private static final int GRACE = 3_000;
 
     private final Scripted scripted = new Scripted(50);
-    private final Turns turns = new Turns(7, Map.of("zones", "east", "classes", "0"));
+    private final EventLoop loop = new EventLoop(7, Map.of("zones", "east", "classes", "0"));
     private final List<DiscoveryClient.Listing> taken = Collections.synchronizedList(new ArrayList<>());
     private DiscoveryClient client;
 
@@ -81,12 +81,12 @@
     }
 
     private DiscoveryClient begun() {
-        turns.listing = taken::add;
+        loop.listing = taken::add;
         return begun(scripted);
     }
 
     private DiscoveryClient begun(Scripted at) {
-        client = new DiscoveryClient(at.address(), turns);
+        client = new DiscoveryClient(at.address(), loop);
         client.start();
         return client;
     }
@@ -125,14 +125,14 @@
     @Test
     void anAddressIsLeftThoughTheInterruptIsLost() throws Exception {
         Swallowing swallowing = new Swallowing();
-        turns.listing = swallowing::hold;
+        loop.listing = swallowing::hold;
         DiscoveryClient moved = begun(scripted);
         Scripted.say(scripted.called(WHOLE), Discovery.http(list(41, true, entry("s-1", "Ready", 0))));
         swallowing.entered.await();
         try (Scripted other = new Scripted(50)) {
             moved.follow(other.address());
             swallowing.interrupted.await();
-            turns.listing = taken::add;
+            loop.listing = taken::add;
             Scripted.say(other.called(WHOLE), Discovery.http(list(3, true, entry("s-2", "Ready", 0))));
             await("its list", () -> taken.size() == 1);
             assertThat(taken.get(0).names()).containsValue("s-2");
@@ -142,7 +142,7 @@
     @Test
     void theWatchEndsThoughTheInterruptIsLost() throws Exception {
         Swallowing swallowing = new Swallowing();
-        turns.listing = swallowing::hold;
+        loop.listing = swallowing::hold;
         begun(scripted);
         Scripted.say(scripted.called(WHOLE), Discovery.http(list(41, true, entry("s-1", "Ready", 0))));
         swallowing.entered.await();
@@ -217,7 +217,7 @@
             for (int i = 0; i < 2; i++) {
                 before.add(new Socket(InetAddress.getLoopbackAddress(), full.address().getPort()));
             }
-            turns.listing = taken::add;
+            loop.listing = taken::add;
             begun(full);
             awaitLog("discovery: java.util.concurrent.TimeoutException");
             for (int i = 0; i < 2; i++) {
--- a/src/test/java/rockshift/net/GovernorTest.java
+++ b/src/test/java/rockshift/net/GovernorTest.java
@@ -262,10 +262,10 @@
     /** While the module stands still, one party's flood must cost nobody else a connection. */
     @Test
     void onlyWhoHasMuchWaitingIsRefusedByAFullQueue() {
-        Turns still = new Turns(7, Map.of("zones", "east", "classes", "0"));
+        EventLoop still = new EventLoop(7, Map.of("zones", "east", "classes", "0"));
         AtomicInteger flood = new AtomicInteger();
         while (still.heard(flood, "east", 1, 1, 0, 1, 1, null)) {
-            assertThat(flood.get()).isLessThanOrEqualTo(Turns.MOST_WAITING);
+            assertThat(flood.get()).isLessThanOrEqualTo(EventLoop.MOST_WAITING);
         }
         assertThat(still.joined(new AtomicInteger(), 1, "east", 1, message -> { })).isTrue();
         assertThat(still.heard(flood, "east", 1, 1, 0, 1, 1, null)).isFalse();
--- a/src/test/java/rockshift/net/StreamLifeTest.java
+++ b/src/test/java/rockshift/net/StreamLifeTest.java
@@ -33,8 +33,8 @@
     private static final Map<String, String> TERMS = Map.of("zones", "east", "proxies", "4", "classes", "1",
             "class.0.name", "cut", "channel.limit", "5000", "channel.pace", "5000", "message.head", "3");
 
-    private final Turns turns = new Turns(7, TERMS);
-    private final Streams streams = new Streams(turns, TERMS, 1024);
+    private final EventLoop loop = new EventLoop(7, TERMS);
+    private final Streams streams = new Streams(loop, TERMS, 1024);
 
     /** What the reactor would hand over: bytes that have come, and where bytes go. */
     private final class Line {
@@ -133,7 +133,7 @@
     }
 
     private void list(long replica) {
-        turns.listed(List.of(new Listed(replica, "east", "plain", Listed.Health.READY, 0)), false, Map.of(replica, "s-" + replica));
+        loop.listed(List.of(new Listed(replica, "east", "plain", Listed.Health.READY, 0)), false, Map.of(replica, "s-" + replica));
     }
 
     @Test
@@ -142,10 +142,10 @@
         Line line = new Line();
         line.say(joined(3), "ping", "usage sidecar 3 kind cut n 1 bad 0 window 1000");
         line.end();
-        turns.turn();
+        loop.turn();
         assertThat(line.sent()).as("it has left before the module's turn").isEmpty();
         Line next = new Line().say(joined(3));
-        turns.turn();
+        loop.turn();
         assertThat(next.sent()).contains("update").contains("s-1");
     }
 
@@ -155,7 +155,7 @@
         list(1);
         Line line = new Line();
         line.bytes("nonsense\r\n" + new String(Resp.message(List.of(joined(3).split(" "))), StandardCharsets.US_ASCII));
-        turns.turn();
+        loop.turn();
         assertThat(line.closed).isTrue();
         assertThat(line.sent()).isEmpty();
     }
@@ -167,10 +167,10 @@
         Line ending = new Line().say(joined(0));
         Line other = new Line().say(joined(1));
         ending.cancelled = true;
-        turns.turn();
+        loop.turn();
         assertThat(other.sent()).contains("update").contains("s-1");
         ending.end();
-        turns.turn();
+        loop.turn();
     }
 
     /** Both orders of the old stream's end and the new stream's joining. */
@@ -179,7 +179,7 @@
     void theNewStreamOfAProxyHoldsWhicheverComesFirst(boolean endFirst) throws Exception {
         list(1);
         Line old = new Line().say(joined(2));
-        turns.turn();
+        loop.turn();
         assertThat(old.sent()).contains("s-1");
         Line fresh = new Line();
         if (endFirst) {
@@ -190,10 +190,10 @@
             assertThat(old.closed).as("ended by the new one").isTrue();
             old.end();
         }
-        turns.turn();
+        loop.turn();
         assertThat(fresh.sent()).contains("whole").contains("s-1");
         list(2);
-        turns.turn();
+        loop.turn();
         assertThat(fresh.sent()).as("it is the proxy's still").contains("s-2");
     }
 
@@ -202,15 +202,15 @@
     void aJoiningIsTakenHoweverMuchOfOthersWaits() throws Exception {
         list(1);
         Line good = new Line().say(joined(2));
-        turns.turn();
+        loop.turn();
         AtomicInteger flood = new AtomicInteger();
-        while (turns.heard(flood, "east", 1, 1, 0, 1, 1, null)) {
+        while (loop.heard(flood, "east", 1, 1, 0, 1, 1, null)) {
             continue;
         }
         Line fresh = new Line().say("ping", joined(2));
         assertThat(fresh.closed).isFalse();
         assertThat(good.closed).as("replaced").isTrue();
-        turns.turn();
+        loop.turn();
         assertThat(fresh.sent()).contains("s-1");
     }
 
@@ -219,10 +219,10 @@
     void aMarkOfAnotherStreamIsNoAnswer() throws Exception {
         list(1);
         Line old = new Line().say(joined(2));
-        turns.turn();
+        loop.turn();
         Line fresh = new Line().say("ping", joined(2), "applied sidecar 2 version 1 lag_ms 5");
         old.handler.inputReady(old.session, null);
-        turns.turn();
+        loop.turn();
         assertThat(fresh.sent()).contains("ticket");
     }
 
@@ -233,7 +233,7 @@
         CountDownLatch sending = new CountDownLatch(1);
         CountDownLatch closed = new CountDownLatch(1);
         AtomicInteger sent = new AtomicInteger();
-        turns.joined(new AtomicInteger(), 0, "east", 1, message -> {
+        loop.joined(new AtomicInteger(), 0, "east", 1, message -> {
             sent.incrementAndGet();
             sending.countDown();
             try {
@@ -242,12 +242,12 @@
                 Thread.currentThread().interrupt();
             }
         });
-        Thread module = new Thread(turns, "turns");
+        Thread module = new Thread(loop, "event-loop");
         module.start();
         sending.await();
-        turns.joined(new AtomicInteger(), 1, "east", 1, message -> sent.incrementAndGet());
+        loop.joined(new AtomicInteger(), 1, "east", 1, message -> sent.incrementAndGet());
         list(2);
-        turns.close();
+        loop.close();
         closed.countDown();
         module.join();
         assertThat(sent).hasValue(1);
@@ -343,18 +343,18 @@
                         line.cancelled = true;
                     }
                 }
-                default -> turns.turn();
+                default -> loop.turn();
             }
         }
-        turns.turn();
+        loop.turn();
         for (Line line : lines) {
             if (line.closed) {
                 line.end();
             }
         }
-        turns.turn();
+        loop.turn();
         list(2);
-        turns.turn();
+        loop.turn();
         for (int i = 0; i < lines.size(); i++) {
             boolean holds = model.current[proxies.get(i)] == lines.get(i);
             assertThat(lines.get(i).sent().contains("s-2")).as("stream " + i + " of proxy " + proxies.get(i)).isEqualTo(holds);
