--- a/src/main/java/rockshift/net/Charter.java
+++ b/src/main/java/rockshift/net/Configuration.java
@@ -20,7 +20,7 @@
  * What a governor is told in its file: where it is, where discovery is, what it may use, the list that it last
  * had, and its terms. It is what one reading found and never changes, and what is missing is named.
  */
-record Charter(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int descriptors,
+record Configuration(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int descriptors,
         DiscoveryClient.Listing known, Map<String, String> terms) {
     /** Descriptors where none are told: what is usual for a process. */
     private static final int USUAL_DESCRIPTORS = 1024;
@@ -36,7 +36,7 @@
         }
     }
 
-    static Charter read(String file) throws Unusable {
+    static Configuration read(String file) throws Unusable {
         if (file == null || file.isEmpty()) {
             throw new Unusable("RELAY_CONFIG names no file");
         }
@@ -86,7 +86,7 @@
         } catch (NumberFormatException wrong) {
             throw new Unusable(file + ": field settings: " + wrong.getMessage());
         }
-        return new Charter(name, listen, discovery, seed, descriptors, known, terms.map());
+        return new Configuration(name, listen, discovery, seed, descriptors, known, terms.map());
     }
 
     /**
@@ -117,7 +117,7 @@
     }
 
     /** The fields in which another file differs though they stand for as long as the process serves. */
-    String fixed(Charter other) {
+    String fixed(Configuration other) {
         return Stream.of(name.equals(other.name) ? "" : "name", listen.equals(other.listen) ? "" : "listen",
                         descriptors == other.descriptors ? "" : "limits", terms.equals(other.terms) ? "" : "settings")
                 .filter(field -> !field.isEmpty()).collect(Collectors.joining(", "));
--- a/src/main/java/rockshift/net/EventLoop.java
+++ b/src/main/java/rockshift/net/EventLoop.java
@@ -45,7 +45,7 @@
 
     EventLoop(long seed, Map<String, String> terms) {
         logic = new Logic(now(), seed, terms);
-        tables = new Tables(Charter.classNames(terms), delay -> wakeAt = now() + delay);
+        tables = new Tables(Configuration.classNames(terms), delay -> wakeAt = now() + delay);
         spacing = Long.parseLong(terms.getOrDefault("turn.spacing", "0"));
     }
 
--- a/src/main/java/rockshift/net/Serve.java
+++ b/src/main/java/rockshift/net/Serve.java
@@ -9,7 +9,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * A governor on sockets, put together from its parts: the charter, the module's thread, the client of discovery and the
+ * A governor on sockets, put together from its parts: the configuration, the module's thread, the client of discovery and the
  * streams. It owns their start and their end, in whatever order these are asked for, and what a reload changes. It must
  * never take part in what the parts do, and no file may end what serves.
  */
@@ -21,7 +21,7 @@
     /** Ms between two looks at a file that nobody can be told of: a drain's grace is longer, and a look costs nothing. */
     private static final long LOOK = 1_000;
 
-    private final Charter charter;
+    private final Configuration configuration;
     private final EventLoop loop;
     private final Thread thread;
     private final DiscoveryClient discovery;
@@ -33,19 +33,19 @@
     /** Whether it ends or has ended: nothing is begun any more. */
     private boolean closed;
 
-    Serve(Charter charter) {
-        this(charter, null);
+    Serve(Configuration configuration) {
+        this(configuration, null);
     }
 
-    Serve(Charter charter, Companion companion) {
-        this.charter = charter;
+    Serve(Configuration configuration, Companion companion) {
+        this.configuration = configuration;
         this.companion = companion;
-        loop = new EventLoop(charter.seed(), charter.terms());
+        loop = new EventLoop(configuration.seed(), configuration.terms());
         inlet = companion == null ? null : new Inlet(loop);
-        DiscoveryClient.take(charter.known(), loop);
+        DiscoveryClient.take(configuration.known(), loop);
         thread = new Thread(loop, "event-loop");
-        discovery = new DiscoveryClient(charter.discovery(), loop);
-        streams = new Streams(loop, charter.terms(), charter.descriptors());
+        discovery = new DiscoveryClient(configuration.discovery(), loop);
+        streams = new Streams(loop, configuration.terms(), configuration.descriptors());
     }
 
     void start() throws IOException, InterruptedException {
@@ -57,20 +57,20 @@
                 return;
             }
             try {
-                port = streams.listen(charter.listen());
+                port = streams.listen(configuration.listen());
             } catch (IOException failure) {
                 streams.close();
-                throw new IOException("cannot listen on " + charter.listen() + ": " + failure.getMessage(), failure);
+                throw new IOException("cannot listen on " + configuration.listen() + ": " + failure.getMessage(), failure);
             }
             thread.start();
             discovery.start();
         }
-        LOG.info("{} serves on {}, port {}", charter.name(), charter.listen().getHostString(), port);
+        LOG.info("{} serves on {}, port {}", configuration.name(), configuration.listen().getHostString(), port);
         if (streams.beyond() > 0) {
-            LOG.warn("limits.sockets {}: {} of the proxies told could not all join here", charter.descriptors(),
+            LOG.warn("limits.sockets {}: {} of the proxies told could not all join here", configuration.descriptors(),
                     streams.beyond());
         }
-        charter.beyondChannel().forEach(LOG::warn);
+        configuration.beyondChannel().forEach(LOG::warn);
     }
 
     int port() {
@@ -85,17 +85,17 @@
         // One after the other, so that the file that was written last counts; a file that is slow to read holds up nobody else.
         synchronized (reloading) {
             try {
-                Charter anew = Charter.read(file);
+                Configuration anew = Configuration.read(file);
                 synchronized (this) {
                     if (closed) {
                         return;
                     }
-                    String fixed = charter.fixed(anew);
+                    String fixed = configuration.fixed(anew);
                     LOG.info("{} read again, discovery at {}:{}{}", file, anew.discovery().getHostString(),
                             anew.discovery().getPort(), fixed.isEmpty() ? "" : "; takes a restart: " + fixed);
                     discovery.follow(anew.discovery());
                 }
-            } catch (Charter.Unusable wrong) {
+            } catch (Configuration.Unusable wrong) {
                 LOG.warn("{}; the file before stays in force", wrong.getMessage());
             }
         }
@@ -129,7 +129,7 @@
 
             @Override
             public void stop() throws InterruptedException {
-                LOG.info("{} stops", charter.name());
+                LOG.info("{} stops", configuration.name());
                 close();
             }
         };
@@ -145,9 +145,9 @@
         String seen = stamp(file);
         Serve serve;
         try {
-            serve = new Serve(Charter.read(file), companion);
+            serve = new Serve(Configuration.read(file), companion);
             serve.start();
-        } catch (Charter.Unusable wrong) {
+        } catch (Configuration.Unusable wrong) {
             System.err.println(wrong.getMessage());
             return UNUSABLE;
         } catch (NumberFormatException wrong) {
--- a/src/main/java/rockshift/net/Streams.java
+++ b/src/main/java/rockshift/net/Streams.java
@@ -97,7 +97,7 @@
     Streams(EventLoop loop, Map<String, String> terms, int descriptors) {
         this.loop = loop;
         zones = Set.of(terms.get("zones").split(","));
-        classes = Charter.classNames(terms);
+        classes = Configuration.classNames(terms);
         proxies = (int) Double.parseDouble(terms.get("proxies"));
         loads = List.of(terms.getOrDefault("load.values", "").split(",")).contains(Resp.BUSY);
         most = Math.max(1, descriptors - RESERVED);
--- a/src/test/java/rockshift/net/GovernorFixture.java
+++ b/src/test/java/rockshift/net/GovernorFixture.java
@@ -192,25 +192,25 @@
                 + String.join(",", entries) + "],\"later\":[{}]}";
     }
 
-    String charter(String listen, int sockets, String terms, String... known) throws IOException {
-        return charter(discovery, listen, sockets, terms, known);
+    String configuration(String listen, int sockets, String terms, String... known) throws IOException {
+        return configuration(discovery, listen, sockets, terms, known);
     }
 
-    String charter(Discovery at, String listen, int sockets, String terms, String... known)
+    String configuration(Discovery at, String listen, int sockets, String terms, String... known)
             throws IOException {
         String text = "{\"name\":\"n1\",\"listen\":\"" + listen + "\",\"discovery\":\"127.0.0.1:"
                 + at.port() + "\",\"seed\":\"fe429af2f6dae94c\",\"peers\":[\"x\"],"
                 + "\"limits\":{\"cores\":1.0,\"sockets\":" + sockets + "},\"known\":" + list(7, true, known)
                 + ",\"settings\":" + terms + "}";
-        return Files.writeString(folder.resolve("charter.json"), text).toString();
+        return Files.writeString(folder.resolve("configuration.json"), text).toString();
     }
 
     Serve serve(int sockets, String... known) throws Exception {
-        return started(charter("127.0.0.1:0", sockets, TERMS, known));
+        return started(configuration("127.0.0.1:0", sockets, TERMS, known));
     }
 
     Serve started(String file) throws Exception {
-        Serve serve = new Serve(Charter.read(file));
+        Serve serve = new Serve(Configuration.read(file));
         open.add(serve);
         serve.start();
         return serve;
--- a/src/test/java/rockshift/net/GovernorTest.java
+++ b/src/test/java/rockshift/net/GovernorTest.java
@@ -361,14 +361,14 @@
      */
     @Test
     void aNewFileUnderLoadMovesTheWatchAndNothingElse() throws Exception {
-        String file = charter("127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0), entry("s-2", "Ready", 0));
+        String file = configuration("127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0), entry("s-2", "Ready", 0));
         Serve serve = started(file);
         Peer proxy = proxy(serve, 3);
         proxy.hear("ticket", "");
         discovery.say(list(41, true, entry("s-1", "Ready", 0), entry("s-2", "Ready", 0)));
         await("a watch", () -> discovery.calls.size() == 2);
         try (Discovery other = new Discovery()) {
-            charter(other, "127.0.0.1:9", 1024, TERMS, entry("s-old", "Ready", 0));
+            configuration(other, "127.0.0.1:9", 1024, TERMS, entry("s-old", "Ready", 0));
             serve.reload(file);
             other.say(list(3, true, entry("s-1", "Ready", 0), entry("s-3", "Ready", 0)));
             assertThat(proxy.hear("lines", "s-3:").get("lines")).contains("s-2:0.0").doesNotContain("s-old");
@@ -386,7 +386,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"", "{\"seed\":\"x\"}", "{\"discovery\":\"127.0.0.1:99999\"}", "{\"name\":\"n1\",\"lis"})
     void aNewFileThatCannotBeUsedLeavesTheOldInForce(String text) throws Exception {
-        String file = charter("127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0));
+        String file = configuration("127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0));
         Serve serve = started(file);
         Peer proxy = proxy(serve, 3);
         proxy.hear("ticket", "");
@@ -414,7 +414,7 @@
     /** Regina-south, herd+mass: drains broke where few lines a second met all proxies; it can be told before. */
     @Test
     void aChannelThatCanNotTellAllProxiesOfADrainInTimeIsNamedAtStart() throws Exception {
-        started(charter("127.0.0.1:0", 1024, TERMS.replace("\"channel_rate\":5000,\"backlog\":5000.0",
+        started(configuration("127.0.0.1:0", 1024, TERMS.replace("\"channel_rate\":5000,\"backlog\":5000.0",
                 "\"channel_rate\":10,\"backlog\":39.0").replace("\"fall_multiple\"", "\"drain_grace_us\":3000000,\"fall_multiple\""),
                 entry("s-1", "Ready", 0)));
         awaitLog("domain.backlog 39: one drain told to all 8 proxies at once comes to 40 lines");
@@ -430,7 +430,7 @@
     void aProcessOutlivesSighupAndEndsOnSigterm() throws Exception {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-cp", System.getProperty("java.class.path"), "rockshift.Main", "serve");
-        builder.environment().put("RELAY_CONFIG", charter("127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0)));
+        builder.environment().put("RELAY_CONFIG", configuration("127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0)));
         Process process = builder.start();
         open.add(process::destroyForcibly);
         try (BufferedReader log = process.errorReader()) {
@@ -450,7 +450,7 @@
     void twoGovernorsWithOtherTermsNeverMeet() throws Exception {
         Serve one = serve();
         String terms = TERMS.replace("\"cut\"", "\"cut-all\"").replace("\"licence\"", "\"cut\"").replace("\"east\",\"west\"", "\"east\"");
-        Serve other = started(charter("127.0.0.1:0", 1024, terms, entry("s-1", "Ready", 0), entry("s-11", "Ready", 0)));
+        Serve other = started(configuration("127.0.0.1:0", 1024, terms, entry("s-1", "Ready", 0), entry("s-11", "Ready", 0)));
         Peer there = proxy(other, 3);
         Peer here = proxy(one, 3);
         assertThat(here.hear()).containsEntry("classes", "cut").extractingByKey("lines").asString().contains("s-2:").doesNotContain("s-11:");
@@ -468,8 +468,8 @@
     @ParameterizedTest
     @CsvSource({"listen, field listen is missing", "discovery, field discovery is missing", "seed, field seed",
         "known, field known", "dcs, (zones)", "classes, (classes)", "proxy_count, (proxies)", "name, (class.0.name)"})
-    void aCharterThatLacksWhatIsNeededIsNamedWithTheField(String field, String told) throws Exception {
-        String file = charter("127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0));
+    void aConfigurationThatLacksWhatIsNeededIsNamedWithTheField(String field, String told) throws Exception {
+        String file = configuration("127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0));
         Files.writeString(Path.of(file), Files.readString(Path.of(file)).replace("\"" + field + "\"", "\"other\""));
         assertThat(Serve.run(Map.of("RELAY_CONFIG", file), new ProcessSignals(), null)).isEqualTo(2);
         assertThat(logged.toString(StandardCharsets.UTF_8).trim()).contains(file, told).doesNotContain("\n");
@@ -479,7 +479,7 @@
     @CsvSource({"'', JSON", "'[]', JSON", "'{\"seed\":\"x\"}', seed", "'{\"listen\":\"x\"}', listen",
         "'{\"known\":3}', known",
         "'{\"limits\":3}', limits"})
-    void aCharterThatIsNoJsonOrGarbledIsNamed(String text, String told) throws Exception {
+    void aConfigurationThatIsNoJsonOrGarbledIsNamed(String text, String told) throws Exception {
         String file = Files.writeString(folder.resolve("garbled.json"), text).toString();
         assertThat(Serve.run(Map.of("RELAY_CONFIG", file), new ProcessSignals(), null)).isEqualTo(2);
         assertThat(Serve.run(Map.of("RELAY_CONFIG", file + ".missing"), new ProcessSignals(), null)).isEqualTo(2);
@@ -491,7 +491,7 @@
         try (ServerSocket taken = new ServerSocket()) {
             taken.bind(new InetSocketAddress("127.0.0.1", 0));
             String address = "127.0.0.1:" + taken.getLocalPort();
-            Map<String, String> environment = Map.of("RELAY_CONFIG", charter(address, 1024, TERMS));
+            Map<String, String> environment = Map.of("RELAY_CONFIG", configuration(address, 1024, TERMS));
             assertThat(Serve.run(environment, new ProcessSignals(), null)).isEqualTo(1);
             assertThat(logged.toString(StandardCharsets.UTF_8).trim()).contains(address).doesNotContain("\n");
         }
@@ -501,7 +501,7 @@
     @Test
     void aFailureInTheModuleIsLoggedAndEndsNothing() throws Exception {
         String terms = TERMS.replace("\"fixed_cost\":3.0", "\"push_price\":\"dear\"");
-        Serve serve = started(charter("127.0.0.1:0", 1024, terms, entry("s-1", "Ready", 0)));
+        Serve serve = started(configuration("127.0.0.1:0", 1024, terms, entry("s-1", "Ready", 0)));
         Peer proxy = proxy(serve, 3);
         awaitLog("failure in the module");
         proxy.assertAnswered();
--- a/src/test/java/rockshift/net/ProcessTest.java
+++ b/src/test/java/rockshift/net/ProcessTest.java
@@ -94,8 +94,8 @@
         return Path.of(System.getProperty("java.home"), "bin", "java").toString();
     }
 
-    private String charter() throws IOException {
-        return charter("127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0));
+    private String configuration() throws IOException {
+        return configuration("127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0));
     }
 
     /** A pipe in a file's place. */
@@ -115,10 +115,10 @@
     /** The handler stood only once the file was read: a new file in the moment of a restart ended the process. */
     @Test
     void aHangupWhileTheFileIsReadHasItReadAgain() throws Exception {
-        byte[] first = Files.readAllBytes(Path.of(charter()));
+        byte[] first = Files.readAllBytes(Path.of(configuration()));
         Path pipe = pipe();
         try (Discovery other = new Discovery()) {
-            byte[] second = Files.readAllBytes(Path.of(charter(other, "127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0))));
+            byte[] second = Files.readAllBytes(Path.of(configuration(other, "127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0))));
             Launched governor = new Launched(pipe.toString());
             try (OutputStream file = read(pipe)) {
                 governor.signal("HUP");
@@ -148,7 +148,7 @@
     void aStartThatFailsKeepsItsStatus() throws Exception {
         try (ServerSocket taken = new ServerSocket()) {
             taken.bind(new InetSocketAddress("127.0.0.1", 0));
-            Launched governor = new Launched(charter("127.0.0.1:" + taken.getLocalPort(), 1024, TERMS));
+            Launched governor = new Launched(configuration("127.0.0.1:" + taken.getLocalPort(), 1024, TERMS));
             assertThat(governor.process.waitFor(LONG, TimeUnit.MILLISECONDS)).isTrue();
             assertThat(governor.process.exitValue()).isEqualTo(1);
             governor.awaitLine("cannot listen on");
@@ -165,13 +165,13 @@
      */
     @Test
     void aProcessThatCanNotHearOfAHangupLooksAtItsFile() throws Exception {
-        String file = charter();
+        String file = configuration();
         Launched deaf = new Launched(file, "/bin/sh", "-c", "trap '' HUP; exec \"$@\"", "sh", java(), "-cp",
                 System.getProperty("java.class.path"), "rockshift.Main", "serve");
         deaf.awaitLine("SIGHUP is ignored by whoever started this process");
         try (Discovery other = new Discovery()) {
             Path beside = Files.createDirectory(folder.resolve("beside"));
-            Path told = Files.move(Path.of(charter(other, "127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0))),
+            Path told = Files.move(Path.of(configuration(other, "127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0))),
                     beside.resolve("new.json"));
             Files.move(told, Path.of(file), StandardCopyOption.ATOMIC_MOVE);
             deaf.signal("HUP");
@@ -185,12 +185,12 @@
     /** What is written between the reading and the first look would be seen by neither. */
     @Test
     void aFileThatIsReplacedWhileItIsReadIsReadAgain() throws Exception {
-        byte[] first = Files.readAllBytes(Path.of(charter()));
+        byte[] first = Files.readAllBytes(Path.of(configuration()));
         Path pipe = pipe();
         Launched deaf = new Launched(pipe.toString(), "/bin/sh", "-c", "trap '' HUP; exec \"$@\"", "sh", java(), "-cp",
                 System.getProperty("java.class.path"), "rockshift.Main", "serve");
         try (OutputStream held = read(pipe)) {
-            Files.move(Path.of(charter()), pipe, StandardCopyOption.ATOMIC_MOVE);
+            Files.move(Path.of(configuration()), pipe, StandardCopyOption.ATOMIC_MOVE);
             held.write(first);
         }
         deaf.awaitLine("read again");
@@ -200,7 +200,7 @@
 
     @Test
     void anEndComesWhileNobodyHasJoinedAndOnlyOnce() throws Exception {
-        Launched governor = new Launched(charter()).awaitLine("serves on");
+        Launched governor = new Launched(configuration()).awaitLine("serves on");
         governor.signal("STOP", "TERM", "HUP", "TERM", "CONT");
         governor.assertEnds();
     }
@@ -209,7 +209,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"TERM", "TERM HUP", "HUP TERM"})
     void anEndWithMessagesInFlightWaitsForNobody(String signals) throws Exception {
-        Launched governor = new Launched(charter("127.0.0.1:0", 1024, TERMS.replace("\"proxy_count\":8", "\"proxy_count\":200"),
+        Launched governor = new Launched(configuration("127.0.0.1:0", 1024, TERMS.replace("\"proxy_count\":8", "\"proxy_count\":200"),
                 entry("s-1", "Ready", 0)));
         List<Peer> peers = new ArrayList<>();
         for (int i = 0; i < 100; i++) {
@@ -234,7 +234,7 @@
     /** The file is being read for a hang-up, which may take as long as it will. */
     @Test
     void anEndDuringAReloadWaitsForNoFile() throws Exception {
-        String file = charter();
+        String file = configuration();
         Launched governor = new Launched(file).awaitLine("serves on");
         Path pipe = pipe();
         Files.move(pipe, Path.of(file), StandardCopyOption.REPLACE_EXISTING);
@@ -249,7 +249,7 @@
     @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Le", "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"gener"})
     void anEndWithHalfAnAnswerOfDiscoveryInHandWaitsForNoRest(String half) throws Exception {
         try (ServerSocket scripted = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-            String file = charter();
+            String file = configuration();
             Files.writeString(Path.of(file), Files.readString(Path.of(file)).replace("127.0.0.1:" + discovery.port(),
                     "127.0.0.1:" + scripted.getLocalPort()));
             Launched governor = new Launched(file);
@@ -266,12 +266,12 @@
     /** Discovery moves; all else that a file may tell waits for a restart, and is named. */
     @Test
     void aFileOfAnotherGovernorMovesDiscoveryAlone() throws Exception {
-        String file = charter();
+        String file = configuration();
         Launched governor = new Launched(file);
         Peer proxy = governor.peer().say("joined sidecar 3 az east share 21.5 standing 1");
         proxy.hear("whole", "1");
         try (Discovery other = new Discovery()) {
-            String told = charter(other, "127.0.0.1:9", 64, TERMS.replace("\"cut\"", "\"cutter\""), entry("s-9", "Ready", 0));
+            String told = configuration(other, "127.0.0.1:9", 64, TERMS.replace("\"cut\"", "\"cutter\""), entry("s-9", "Ready", 0));
             Files.writeString(Path.of(told), Files.readString(Path.of(told)).replace("\"n1\"", "\"n2\""));
             governor.signal("HUP");
             governor.awaitLine("takes a restart: name, listen, limits, settings");
