--- a/src/main/java/rockshift/net/Streams.java
+++ b/src/main/java/rockshift/net/Streams.java
@@ -85,9 +85,9 @@
     private final DefaultListeningIOReactor reactor;
     // Used by the reactor's one thread alone.
     private final ByteBuffer piece = ByteBuffer.allocate(PIECE);
-    private final LinkedHashSet<Party> parties = new LinkedHashSet<>();
+    private final LinkedHashSet<Connection> connections = new LinkedHashSet<>();
     /** The last connection on which each proxy or collector told its name. */
-    private final Map<String, Party> newest = new HashMap<>();
+    private final Map<String, Connection> newest = new HashMap<>();
     private long unfinished;
     /** Strangers that ended since then, and by code those that had no line of their own. */
     private long countedSince = System.nanoTime();
@@ -110,7 +110,7 @@
 
     /** What the reactor tells of a connection. */
     IOEventHandler connection(IOSession session) {
-        return new Party(session);
+        return new Connection(session);
     }
 
     /** How many proxies of those told can't be joined here all at once, as descriptors run short. */
@@ -168,7 +168,7 @@
     }
 
     /** One connection and who is at its other end. */
-    private final class Party implements IOEventHandler, Tables.Stream {
+    private final class Connection implements IOEventHandler, Tables.Stream {
         private final IOSession session;
         private final SocketAddress from;
         private final long since = System.nanoTime();
@@ -185,7 +185,7 @@
         private int proxy = -1;
         private int dropped;
 
-        Party(IOSession session) {
+        Connection(IOSession session) {
             this.session = session;
             from = session.getRemoteAddress();
         }
@@ -193,17 +193,17 @@
         @Override
         public void connected(IOSession same) {
             session.setSocketTimeout(Timeout.ofMilliseconds(TO_JOIN_CROWDED));
-            if (parties.size() >= most) {
+            if (connections.size() >= most) {
                 // Who says nothing makes room, but not before what it says could be read.
-                Party oldest = parties.stream().filter(Party::stranger).findFirst().orElse(this);
+                Connection oldest = connections.stream().filter(Connection::stranger).findFirst().orElse(this);
                 if (oldest.age() < TO_JOIN_CROWDED) {
                     end("crowded", "");
                     return;
                 }
-                parties.remove(oldest);
+                connections.remove(oldest);
                 oldest.end("crowded", "");
             }
-            parties.add(this);
+            connections.add(this);
         }
 
         private long age() {
@@ -225,7 +225,7 @@
         private void named(String name) {
             this.name = name;
             session.setSocketTimeout(Timeout.DISABLED);
-            Party before = newest.put(name, this);
+            Connection before = newest.put(name, this);
             if (before != null) {
                 before.end("replaced", "");
             }
@@ -444,7 +444,7 @@
         @Override
         public void disconnected(IOSession same) {
             ending.compareAndSet(null, new Ending("stopping", ""));
-            parties.remove(this);
+            connections.remove(this);
             newest.remove(name, this);
             unfinished -= resp.held() - Resp.USUAL;
             waiting.clear();
