--- a/src/main/java/rockshift/net/DiscoveryClient.java
+++ b/src/main/java/rockshift/net/DiscoveryClient.java
@@ -41,9 +41,9 @@
 import rockshift.Terms;
 
 /**
- * The list of replicas, kept by watching discovery where the file in force says it is, and the numbers under
- * which the module knows them. It owns the connection to discovery and the version of the list that is held. Whatever discovery does, it
- * must never lose the list that it has, and never wait longer than the limits here.
+ * The client of discovery: it keeps the list of replicas by watching where the file in force says discovery is, and has the
+ * numbers under which the module knows them. It owns the connection there and the version of the list that is held. Whatever
+ * discovery does, it must never lose the list that it has, and never wait longer than the limits here.
  */
 final class DiscoveryClient implements Runnable {
     private static final Logger LOG = LoggerFactory.getLogger(DiscoveryClient.class);
--- a/src/main/java/rockshift/net/Resp.java
+++ b/src/main/java/rockshift/net/RespCodec.java
@@ -11,7 +11,7 @@
  * the words in them. It owns the bytes of one connection's unfinished message and nothing else. It must
  * never wait, never keep more than one message may hold, and never act on what a message says.
  */
-final class Resp {
+final class RespCodec {
     /** Bytes: the longest message that the protocol allows. */
     static final int LONGEST = 1 << 20;
     /** Bytes kept for each connection while it is quiet; most messages fit. */
--- a/src/main/java/rockshift/net/Streams.java
+++ b/src/main/java/rockshift/net/Streams.java
@@ -73,7 +73,7 @@
     private static final int LINES = 50;
     /** Ms for ending all connections: a planned restart leaves 0.7 s. */
     private static final int FAREWELL = 300;
-    private static final byte[] PONG = Resp.message(List.of(Resp.PONG));
+    private static final byte[] PONG = RespCodec.message(List.of(RespCodec.PONG));
 
     private final EventLoop loop;
     private final Set<String> zones;
@@ -99,7 +99,7 @@
         zones = Set.of(terms.get("zones").split(","));
         classes = Configuration.classNames(terms);
         proxies = (int) Double.parseDouble(terms.get("proxies"));
-        loads = List.of(terms.getOrDefault("load.values", "").split(",")).contains(Resp.BUSY);
+        loads = List.of(terms.getOrDefault("load.values", "").split(",")).contains(RespCodec.BUSY);
         most = Math.max(1, descriptors - RESERVED);
         IOReactorConfig one = IOReactorConfig.custom().setIoThreadCount(1).setBacklogSize(BACKLOG)
                 .setSoReuseAddress(true).setTcpNoDelay(true).setSelectInterval(TimeValue.ofMilliseconds(LOOK)).build();
@@ -172,7 +172,7 @@
         private final IOSession session;
         private final SocketAddress from;
         private final long since = System.nanoTime();
-        private final Resp resp = new Resp();
+        private final RespCodec resp = new RespCodec();
         private final ConcurrentLinkedQueue<ByteBuffer> waiting = new ConcurrentLinkedQueue<>();
         private final AtomicInteger unread = new AtomicInteger();
         /** Its messages that the module has not taken in yet. */
@@ -239,7 +239,7 @@
                 end("left", "");
                 return;
             }
-            unfinished -= resp.held() - Resp.USUAL;
+            unfinished -= resp.held() - RespCodec.USUAL;
             try {
                 resp.feed(piece.flip());
                 while (ending.get() == null && resp.next()) {
@@ -247,13 +247,13 @@
                         end("flood", queued + " messages wait for the module");
                     }
                 }
-            } catch (Resp.Broken broken) {
+            } catch (RespCodec.Broken broken) {
                 end(broken.code, broken.getMessage());
             } finally {
-                unfinished += resp.held() - Resp.USUAL;
+                unfinished += resp.held() - RespCodec.USUAL;
             }
             look();
-            if (unfinished > UNFINISHED && resp.held() > Resp.USUAL) {
+            if (unfinished > UNFINISHED && resp.held() > RespCodec.USUAL) {
                 end("flood", "too many unfinished messages");
             }
         }
@@ -266,7 +266,7 @@
             try {
                 resp.complete();
                 return take();
-            } catch (Resp.Spoilt spoilt) {
+            } catch (RespCodec.Spoilt spoilt) {
                 if (stranger()) {
                     end(spoilt.code, spoilt.getMessage());
                 } else if (dropped++ == 0) {
@@ -276,24 +276,24 @@
             }
         }
 
-        private boolean take() throws Resp.Spoilt {
+        private boolean take() throws RespCodec.Spoilt {
             return switch (resp.kind()) {
-                case Resp.PING -> {
+                case RespCodec.PING -> {
                     send(PONG, UNREAD_PONGS);
                     yield true;
                 }
-                case Resp.COLLECTOR -> {
+                case RespCodec.COLLECTOR -> {
                     require(stranger(), "a collector that was something else");
                     String told = zone();
                     named("collector of " + told);
                     zone = told;
                     yield true;
                 }
-                case Resp.JOINED -> {
+                case RespCodec.JOINED -> {
                     require(stranger(), "a proxy that was something else");
                     int number = numbered();
                     String told = zone();
-                    double rate = resp.number(Resp.USUAL_RATE);
+                    double rate = resp.number(RespCodec.USUAL_RATE);
                     proxy = number;
                     // Its old connection is ended only where this one is taken.
                     boolean taken = loop.joined(queued, number, told, rate, this);
@@ -302,76 +302,76 @@
                     }
                     yield taken;
                 }
-                case Resp.HEARD -> {
+                case RespCodec.HEARD -> {
                     require(zone != null, "a report from no collector");
-                    field(resp.text(Resp.ZONE).equals(zone), Resp.ZONE);
+                    field(resp.text(RespCodec.ZONE).equals(zone), RespCodec.ZONE);
                     int count = counted();
-                    int failed = resp.whole(Resp.FAILED);
-                    field(failed <= count, Resp.FAILED);
-                    yield loop.heard(queued, zone, DiscoveryClient.number(resp.text(Resp.REPLICA)), count, failed,
-                            tenths(Resp.MEAN_TIME), tenths(Resp.SPAN), busy());
+                    int failed = resp.whole(RespCodec.FAILED);
+                    field(failed <= count, RespCodec.FAILED);
+                    yield loop.heard(queued, zone, DiscoveryClient.number(resp.text(RespCodec.REPLICA)), count, failed,
+                            tenths(RespCodec.MEAN_TIME), tenths(RespCodec.SPAN), busy());
                 }
-                case Resp.USAGE -> {
+                case RespCodec.USAGE -> {
                     require(!stranger(), "a report from a stranger");
                     int number = numbered();
-                    field(proxy < 0 || number == proxy, Resp.PROXY);
-                    String type = resp.text(Resp.CLASS);
-                    field(classes.contains(type), Resp.CLASS);
+                    field(proxy < 0 || number == proxy, RespCodec.PROXY);
+                    String type = resp.text(RespCodec.CLASS);
+                    field(classes.contains(type), RespCodec.CLASS);
                     // What failed may have come before the span: more can have failed in it than came.
-                    resp.whole(Resp.FAILED);
-                    yield loop.usage(queued, number, type, counted(), tenths(Resp.SPAN));
+                    resp.whole(RespCodec.FAILED);
+                    yield loop.usage(queued, number, type, counted(), tenths(RespCodec.SPAN));
                 }
-                case Resp.APPLIED -> {
+                case RespCodec.APPLIED -> {
                     require(proxy >= 0, "a mark of no proxy");
-                    field(resp.whole(Resp.PROXY) == proxy, Resp.PROXY);
-                    resp.number(Resp.DELAY);
-                    yield loop.applied(queued, proxy, resp.whole(Resp.SERIAL), this);
+                    field(resp.whole(RespCodec.PROXY) == proxy, RespCodec.PROXY);
+                    resp.number(RespCodec.DELAY);
+                    yield loop.applied(queued, proxy, resp.whole(RespCodec.SERIAL), this);
                 }
-                default -> throw new Resp.Spoilt("unknown-kind", "'" + resp.kind() + "'");
+                default -> throw new RespCodec.Spoilt("unknown-kind", "'" + resp.kind() + "'");
             };
         }
 
-        private void require(boolean so, String what) throws Resp.Spoilt {
+        private void require(boolean so, String what) throws RespCodec.Spoilt {
             if (!so) {
-                throw new Resp.Spoilt("unexpected", what);
+                throw new RespCodec.Spoilt("unexpected", what);
             }
         }
 
-        private void field(boolean fits, String field) throws Resp.Spoilt {
+        private void field(boolean fits, String field) throws RespCodec.Spoilt {
             if (!fits) {
-                throw new Resp.Spoilt("bad-field", field + " '" + resp.text(field) + "'");
+                throw new RespCodec.Spoilt("bad-field", field + " '" + resp.text(field) + "'");
             }
         }
 
-        private String zone() throws Resp.Spoilt {
-            String told = resp.text(Resp.ZONE);
-            field(zones.contains(told), Resp.ZONE);
+        private String zone() throws RespCodec.Spoilt {
+            String told = resp.text(RespCodec.ZONE);
+            field(zones.contains(told), RespCodec.ZONE);
             return told;
         }
 
-        private int numbered() throws Resp.Spoilt {
-            int number = resp.whole(Resp.PROXY);
-            field(number < proxies, Resp.PROXY);
+        private int numbered() throws RespCodec.Spoilt {
+            int number = resp.whole(RespCodec.PROXY);
+            field(number < proxies, RespCodec.PROXY);
             return number;
         }
 
         /** What a report counts: no more than its span holds. */
-        private int counted() throws Resp.Spoilt {
-            int count = resp.whole(Resp.COUNT);
-            field(count <= MOST_A_MILLI * resp.number(Resp.SPAN), Resp.COUNT);
+        private int counted() throws RespCodec.Spoilt {
+            int count = resp.whole(RespCodec.COUNT);
+            field(count <= MOST_A_MILLI * resp.number(RespCodec.SPAN), RespCodec.COUNT);
             return count;
         }
 
-        private long tenths(String name) throws Resp.Spoilt {
+        private long tenths(String name) throws RespCodec.Spoilt {
             double millis = resp.number(name);
             field(millis <= LONGEST, name);
             return (long) (millis * EventLoop.TENTHS_PER_MILLI);
         }
 
         /** A replica's load where one is told; a report of load without it is spoilt where the terms have it. */
-        private Double busy() throws Resp.Spoilt {
-            Double busy = resp.paired(Resp.LOAD, Resp.BUSY);
-            field(busy == null ? !loads || !resp.has(Resp.LOAD) : busy <= MOST_BUSY, Resp.LOAD);
+        private Double busy() throws RespCodec.Spoilt {
+            Double busy = resp.paired(RespCodec.LOAD, RespCodec.BUSY);
+            field(busy == null ? !loads || !resp.has(RespCodec.LOAD) : busy <= MOST_BUSY, RespCodec.LOAD);
             return busy;
         }
 
@@ -446,7 +446,7 @@
             ending.compareAndSet(null, new Ending("stopping", ""));
             connections.remove(this);
             newest.remove(name, this);
-            unfinished -= resp.held() - Resp.USUAL;
+            unfinished -= resp.held() - RespCodec.USUAL;
             waiting.clear();
             if (proxy >= 0) {
                 loop.left(proxy, this);
--- a/src/main/java/rockshift/net/Tables.java
+++ b/src/main/java/rockshift/net/Tables.java
@@ -235,7 +235,7 @@
                         whole ? table.levels : table.newLevels);
             });
             if (parts.isEmpty() && (!seat.out.isEmpty() || !seat.back.isEmpty())) {
-                parts.add(new ArrayList<>(List.of(Resp.UPDATE)));
+                parts.add(new ArrayList<>(List.of(RespCodec.UPDATE)));
             }
             if (!parts.isEmpty()) {
                 close(parts, proxy, seat);
@@ -258,22 +258,22 @@
         if (whole || !lines.isEmpty()) {
             first = part(parts, bits);
             if (whole) {
-                first.addAll(List.of(Resp.WHOLE, "1"));
+                first.addAll(List.of(RespCodec.WHOLE, "1"));
             }
             StringJoiner list = new StringJoiner(",");
             lines.forEach((replica, weight) -> list.add(names.get(replica) + ":" + plain(weight)));
-            first.addAll(List.of(Resp.LINES, list.toString()));
+            first.addAll(List.of(RespCodec.LINES, list.toString()));
         }
         for (Level level : levels.values()) {
             int meant = level.classes == 0 ? bits : bits == 0 ? level.classes : bits & level.classes;
             List<String> part = meant == bits && first != null ? first : part(parts, meant);
-            part.addAll(List.of(Resp.LEVEL, plain(level.level), Resp.AGAIN, Integer.toString(level.again)));
+            part.addAll(List.of(RespCodec.LEVEL, plain(level.level), RespCodec.AGAIN, Integer.toString(level.again)));
             first = part == first ? null : first;
         }
     }
 
     private List<String> part(List<List<String>> parts, int bits) {
-        List<String> part = new ArrayList<>(List.of(Resp.UPDATE));
+        List<String> part = new ArrayList<>(List.of(RespCodec.UPDATE));
         if (bits != 0) {
             StringJoiner meant = new StringJoiner("+");
             for (int k = 0; k < classNames.size(); k++) {
@@ -281,7 +281,7 @@
                     meant.add(classNames.get(k));
                 }
             }
-            part.addAll(List.of(Resp.CLASSES, meant.toString()));
+            part.addAll(List.of(RespCodec.CLASSES, meant.toString()));
         }
         parts.add(part);
         return part;
@@ -292,22 +292,22 @@
         List<String> last = parts.get(parts.size() - 1);
         Set<Long> kept = shut.computeIfAbsent(proxy, number -> new TreeSet<>());
         if (!seat.out.isEmpty()) {
-            last.addAll(List.of(Resp.OUT, named(seat.out)));
+            last.addAll(List.of(RespCodec.OUT, named(seat.out)));
             kept.addAll(seat.out);
         }
         if (!seat.back.isEmpty()) {
-            last.addAll(List.of(Resp.BACK, named(seat.back)));
+            last.addAll(List.of(RespCodec.BACK, named(seat.back)));
             kept.removeAll(seat.back);
         }
         if (serial > 0) {
-            last.addAll(List.of(Resp.MARK, Integer.toString(serial)));
+            last.addAll(List.of(RespCodec.MARK, Integer.toString(serial)));
         }
         ByteArrayOutputStream message = new ByteArrayOutputStream();
         for (List<String> part : parts) {
             if (part != last) {
-                part.addAll(List.of(Resp.MORE, "1"));
+                part.addAll(List.of(RespCodec.MORE, "1"));
             }
-            message.writeBytes(Resp.message(part));
+            message.writeBytes(RespCodec.message(part));
         }
         seat.stream.send(message.toByteArray());
     }
--- a/src/test/java/rockshift/net/GovernorFixture.java
+++ b/src/test/java/rockshift/net/GovernorFixture.java
@@ -223,7 +223,7 @@
     /** A proxy, a collector or a stranger. */
     final class Peer implements AutoCloseable {
         final Socket socket;
-        final Resp resp = new Resp();
+        final RespCodec resp = new RespCodec();
 
         Peer(Serve serve) throws IOException {
             this(new Socket(InetAddress.getLoopbackAddress(), serve.port()));
@@ -236,12 +236,12 @@
         }
 
         Peer say(String words) throws IOException {
-            socket.getOutputStream().write(Resp.message(List.of(words.split(" "))));
+            socket.getOutputStream().write(RespCodec.message(List.of(words.split(" "))));
             return this;
         }
 
         /** The next part of a message, its kind under the empty name. */
-        Map<String, String> hear() throws IOException, Resp.Broken {
+        Map<String, String> hear() throws IOException, RespCodec.Broken {
             byte[] piece = new byte[4096];
             while (!resp.next()) {
                 int count = socket.getInputStream().read(piece);
@@ -253,7 +253,7 @@
                     "more")) {
                 try {
                     part.put(name, resp.text(name));
-                } catch (Resp.Spoilt absent) {
+                } catch (RespCodec.Spoilt absent) {
                     continue;
                 }
             }
@@ -261,7 +261,7 @@
         }
 
         /** Reads on until a part has a field with such a value in it. */
-        Map<String, String> hear(String field, String value) throws IOException, Resp.Broken {
+        Map<String, String> hear(String field, String value) throws IOException, RespCodec.Broken {
             Map<String, String> part = hear();
             while (!part.getOrDefault(field, "").contains(value)) {
                 part = hear();
@@ -270,7 +270,7 @@
         }
 
         /** Asks whether the governor is there, and reads on until it says so. */
-        void assertAnswered() throws IOException, Resp.Broken {
+        void assertAnswered() throws IOException, RespCodec.Broken {
             say("ping");
             while (!hear().get("").equals("pong")) {
                 continue;
--- a/src/test/java/rockshift/net/GovernorTest.java
+++ b/src/test/java/rockshift/net/GovernorTest.java
@@ -45,7 +45,7 @@
         Serve serve = serve();
         Peer proxy = new Peer(serve);
         proxy.socket.setTcpNoDelay(true);
-        for (byte b : Resp.message(List.of("joined sidecar 3 az east share 21.5 standing 1".split(" ")))) {
+        for (byte b : RespCodec.message(List.of("joined sidecar 3 az east share 21.5 standing 1".split(" ")))) {
             proxy.socket.getOutputStream().write(b);
             new Peer(serve).assertAnswered();
         }
@@ -206,7 +206,7 @@
             try (Peer peer = proxy(serve, 4)) {
                 peer.assertAnswered();
                 return true;
-            } catch (IOException | Resp.Broken | AssertionError notTaken) {
+            } catch (IOException | RespCodec.Broken | AssertionError notTaken) {
                 return false;
             }
         });
@@ -275,7 +275,7 @@
     void aPartyThatLeavesItsAnswersUnreadIsReset() throws Exception {
         Serve serve = serve();
         Peer deaf = new Peer(serve);
-        byte[] ping = Resp.message(List.of("ping"));
+        byte[] ping = RespCodec.message(List.of("ping"));
         ByteBuffer many = ByteBuffer.allocate(ping.length * 5000);
         while (many.hasRemaining()) {
             many.put(ping);
@@ -293,7 +293,7 @@
     @Test
     void unfinishedLongMessagesAreBoundedAllTogether() throws Exception {
         Serve serve = serve();
-        byte[] long1 = Resp.message(List.of("heard", "host", "x".repeat(900_000)));
+        byte[] long1 = RespCodec.message(List.of("heard", "host", "x".repeat(900_000)));
         for (int i = 0; i < 60; i++) {
             try {
                 new Peer(serve).socket.getOutputStream().write(long1, 0, 850_000);
--- a/src/test/java/rockshift/net/ProcessTest.java
+++ b/src/test/java/rockshift/net/ProcessTest.java
@@ -219,7 +219,7 @@
         governor.signal("STOP");
         for (int i = 0; i < 50; i++) {
             peers.get(i).say("usage sidecar " + i + " kind cut n 19 bad 0 window 1000.0");
-            byte[] mark = Resp.message(List.of("applied", "sidecar", "1", "version", "1", "lag_ms", "1"));
+            byte[] mark = RespCodec.message(List.of("applied", "sidecar", "1", "version", "1", "lag_ms", "1"));
             peers.get(i).socket.getOutputStream().write(mark, 0, mark.length / 2);
             governor.peer().say("joined sidecar " + (100 + i) + " az east share 21.5 standing 1");
         }
--- a/src/test/java/rockshift/net/RespTest.java
+++ b/src/test/java/rockshift/net/RespCodecTest.java
@@ -12,10 +12,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-class RespTest {
-    private final Resp resp = new Resp();
+class RespCodecTest {
+    private final RespCodec resp = new RespCodec();
 
-    private List<String> kinds(byte[] came) throws Resp.Broken {
+    private List<String> kinds(byte[] came) throws RespCodec.Broken {
         List<String> kinds = new ArrayList<>();
         resp.feed(ByteBuffer.wrap(came));
         while (resp.next()) {
@@ -26,7 +26,7 @@
 
     @Test
     void aMessageThatComesByteByByteIsReadOnceItIsWhole() throws Exception {
-        byte[] message = Resp.message(List.of("applied", "sidecar", "17", "version", "905"));
+        byte[] message = RespCodec.message(List.of("applied", "sidecar", "17", "version", "905"));
         for (int i = 0; i < message.length - 1; i++) {
             assertThat(kinds(new byte[] {message[i]})).isEmpty();
         }
@@ -37,13 +37,13 @@
 
     /** Long messages make the buffer grow; what follows them in the same piece must not be lost. */
     @Test
-    void manyMessagesOfAllSizesInOnePieceAreAllRead() throws Resp.Broken {
+    void manyMessagesOfAllSizesInOnePieceAreAllRead() throws RespCodec.Broken {
         StringBuilder all = new StringBuilder();
         List<String> sent = new ArrayList<>();
         for (int i = 0; i < 300; i++) {
             List<String> message = List.of("k" + i, "padding", "x".repeat(i * i / 10));
             sent.add(message.get(0));
-            all.append(new String(Resp.message(message), StandardCharsets.US_ASCII));
+            all.append(new String(RespCodec.message(message), StandardCharsets.US_ASCII));
         }
         byte[] bytes = all.toString().getBytes(StandardCharsets.US_ASCII);
         List<String> read = new ArrayList<>();
@@ -51,7 +51,7 @@
             read.addAll(kinds(Arrays.copyOfRange(bytes, at, Math.min(bytes.length, at + step))));
         }
         assertThat(read).isEqualTo(sent);
-        assertThat(resp.held()).as("what was needed once is given back").isLessThan(8 * Resp.USUAL);
+        assertThat(resp.held()).as("what was needed once is given back").isLessThan(8 * RespCodec.USUAL);
     }
 
     @ParameterizedTest
@@ -60,23 +60,23 @@
         "*1~$1048577~, too-long"})
     void whatIsNoMessageIsNamed(String bytes, String code) {
         assertThatThrownBy(() -> kinds(bytes.replace("~", "\r\n").getBytes(StandardCharsets.US_ASCII)))
-                .isInstanceOfSatisfying(Resp.Broken.class, broken -> assertThat(broken.code).isEqualTo(code));
+                .isInstanceOfSatisfying(RespCodec.Broken.class, broken -> assertThat(broken.code).isEqualTo(code));
     }
 
     /** Strings that are each short enough may not add up to more than a message may hold. */
     @Test
-    void aMessageMayHoldAMebibyteAndNoMore() throws Resp.Broken {
-        assertThat(kinds(Resp.message(List.of("k", "a", "x".repeat((1 << 20) - 100))))).containsExactly("k");
+    void aMessageMayHoldAMebibyteAndNoMore() throws RespCodec.Broken {
+        assertThat(kinds(RespCodec.message(List.of("k", "a", "x".repeat((1 << 20) - 100))))).containsExactly("k");
         String half = "x".repeat(1 << 19);
-        assertThatThrownBy(() -> kinds(Resp.message(List.of("k", half, half))))
-                .isInstanceOfSatisfying(Resp.Broken.class, broken -> assertThat(broken.code).isEqualTo("too-long"));
+        assertThatThrownBy(() -> kinds(RespCodec.message(List.of("k", half, half))))
+                .isInstanceOfSatisfying(RespCodec.Broken.class, broken -> assertThat(broken.code).isEqualTo("too-long"));
     }
 
     @ParameterizedTest
     @CsvSource({"-1", "x", "NaN", "Infinity", "1e300", "''"})
-    void aNumberThatCannotBeUsedIsNoNumber(String text) throws Resp.Broken {
-        resp.feed(ByteBuffer.wrap(Resp.message(List.of("joined", "share", text))));
+    void aNumberThatCannotBeUsedIsNoNumber(String text) throws RespCodec.Broken {
+        resp.feed(ByteBuffer.wrap(RespCodec.message(List.of("joined", "share", text))));
         resp.next();
-        assertThatThrownBy(() -> resp.number("share")).isInstanceOf(Resp.Spoilt.class);
+        assertThatThrownBy(() -> resp.number("share")).isInstanceOf(RespCodec.Spoilt.class);
     }
 }
--- a/src/test/java/rockshift/net/StreamLifeTest.java
+++ b/src/test/java/rockshift/net/StreamLifeTest.java
@@ -94,7 +94,7 @@
         Line say(String... messages) throws Exception {
             StringBuilder all = new StringBuilder();
             for (String message : messages) {
-                all.append(new String(Resp.message(List.of(message.split(" "))), StandardCharsets.US_ASCII));
+                all.append(new String(RespCodec.message(List.of(message.split(" "))), StandardCharsets.US_ASCII));
             }
             return bytes(all.toString());
         }
@@ -154,7 +154,7 @@
     void whatComesBehindAnUnreadableMessageDoesNotCount() throws Exception {
         list(1);
         Line line = new Line();
-        line.bytes("nonsense\r\n" + new String(Resp.message(List.of(joined(3).split(" "))), StandardCharsets.US_ASCII));
+        line.bytes("nonsense\r\n" + new String(RespCodec.message(List.of(joined(3).split(" "))), StandardCharsets.US_ASCII));
         loop.turn();
         assertThat(line.closed).isTrue();
         assertThat(line.sent()).isEmpty();
