--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -423,11 +423,13 @@
     void noTableDoesForAllClassesWhereTheOthersWouldRepeatFreely() {
         for (String unset : List.of("0", "1", "2", "3")) {
             FakeHost host = new FakeHost("classes", "2", "class.1.name", "pay", "proxies", "60", "idle.close", "150000",
-                    "channel.limit", "1500", "channel.pace", "1000", "drain.grace", "20000", "again.unset", unset).crowd(60, 60, 3);
+                    "channel.limit", "1500", "channel.pace", "1000", "drain.grace", "20000", "again.unset", unset)
+                    .crowd(60, 60, 3);
             host.pass(0.7);
             boolean safe = unset.equals("0") || unset.equals("1");
             assertThat(host.boundFor.values().stream().anyMatch(classes -> classes.contains(0))).as(unset).isEqualTo(safe);
-            assertThat(host.pass(4).boundFor.values()).hasSize(60).allMatch(classes -> classes.equals(new TreeSet<>(List.of(1, 2))));
+            assertThat(host.pass(4).boundFor.values()).hasSize(60)
+                    .allMatch(classes -> classes.equals(new TreeSet<>(List.of(1, 2))));
         }
     }
 
--- a/src/test/java/rockshift/net/GovernorTest.java
+++ b/src/test/java/rockshift/net/GovernorTest.java
@@ -415,7 +415,8 @@
     @Test
     void aChannelThatCanNotTellAllProxiesOfADrainInTimeIsNamedAtStart() throws Exception {
         started(configuration("127.0.0.1:0", 1024, TERMS.replace("\"channel_rate\":5000,\"backlog\":5000.0",
-                "\"channel_rate\":10,\"backlog\":39.0").replace("\"fall_multiple\"", "\"drain_grace_us\":3000000,\"fall_multiple\""),
+                "\"channel_rate\":10,\"backlog\":39.0")
+                .replace("\"fall_multiple\"", "\"drain_grace_us\":3000000,\"fall_multiple\""),
                 entry("s-1", "Ready", 0)));
         awaitLog("domain.backlog 39: one drain told to all 8 proxies at once comes to 40 lines");
         awaitLog("domain.channel_rate 10: one drain told to all 8 proxies takes 4.0 of the 3.0 s that it is given");
@@ -449,11 +450,13 @@
     @Test
     void twoGovernorsWithOtherTermsNeverMeet() throws Exception {
         Serve one = serve();
-        String terms = TERMS.replace("\"cut\"", "\"cut-all\"").replace("\"licence\"", "\"cut\"").replace("\"east\",\"west\"", "\"east\"");
+        String terms = TERMS.replace("\"cut\"", "\"cut-all\"").replace("\"licence\"", "\"cut\"")
+                .replace("\"east\",\"west\"", "\"east\"");
         Serve other = started(configuration("127.0.0.1:0", 1024, terms, entry("s-1", "Ready", 0), entry("s-11", "Ready", 0)));
         Peer there = proxy(other, 3);
         Peer here = proxy(one, 3);
-        assertThat(here.hear()).containsEntry("classes", "cut").extractingByKey("lines").asString().contains("s-2:").doesNotContain("s-11:");
+        assertThat(here.hear()).containsEntry("classes", "cut").extractingByKey("lines").asString().contains("s-2:")
+                .doesNotContain("s-11:");
         assertThat(here.hear()).containsEntry("classes", "licence");
         assertThat(there.hear()).containsEntry("classes", "cut-all").extractingByKey("lines").asString().contains("s-11:");
         assertThat(there.hear()).containsEntry("classes", "cut");
--- a/src/test/java/rockshift/net/ProcessTest.java
+++ b/src/test/java/rockshift/net/ProcessTest.java
@@ -118,7 +118,8 @@
         byte[] first = Files.readAllBytes(Path.of(configuration()));
         Path pipe = pipe();
         try (Discovery other = new Discovery()) {
-            byte[] second = Files.readAllBytes(Path.of(configuration(other, "127.0.0.1:0", 1024, TERMS, entry("s-1", "Ready", 0))));
+            byte[] second = Files.readAllBytes(Path.of(configuration(other, "127.0.0.1:0", 1024, TERMS,
+                    entry("s-1", "Ready", 0))));
             Launched governor = new Launched(pipe.toString());
             try (OutputStream file = read(pipe)) {
                 governor.signal("HUP");
@@ -209,8 +210,8 @@
     @ParameterizedTest
     @ValueSource(strings = {"TERM", "TERM HUP", "HUP TERM"})
     void anEndWithMessagesInFlightWaitsForNobody(String signals) throws Exception {
-        Launched governor = new Launched(configuration("127.0.0.1:0", 1024, TERMS.replace("\"proxy_count\":8", "\"proxy_count\":200"),
-                entry("s-1", "Ready", 0)));
+        String crowd = TERMS.replace("\"proxy_count\":8", "\"proxy_count\":200");
+        Launched governor = new Launched(configuration("127.0.0.1:0", 1024, crowd, entry("s-1", "Ready", 0)));
         List<Peer> peers = new ArrayList<>();
         for (int i = 0; i < 100; i++) {
             peers.add(governor.peer().say("joined sidecar " + i + " az east share 21.5 standing 1"));
@@ -271,7 +272,8 @@
         Peer proxy = governor.peer().say("joined sidecar 3 az east share 21.5 standing 1");
         proxy.hear("whole", "1");
         try (Discovery other = new Discovery()) {
-            String told = configuration(other, "127.0.0.1:9", 64, TERMS.replace("\"cut\"", "\"cutter\""), entry("s-9", "Ready", 0));
+            String told = configuration(other, "127.0.0.1:9", 64, TERMS.replace("\"cut\"", "\"cutter\""),
+                    entry("s-9", "Ready", 0));
             Files.writeString(Path.of(told), Files.readString(Path.of(told)).replace("\"n1\"", "\"n2\""));
             governor.signal("HUP");
             governor.awaitLine("takes a restart: name, listen, limits, settings");
--- a/src/test/java/rockshift/net/StreamLifeTest.java
+++ b/src/test/java/rockshift/net/StreamLifeTest.java
@@ -133,7 +133,8 @@
     }
 
     private void list(long replica) {
-        loop.listed(List.of(new Listed(replica, "east", "plain", Listed.Health.READY, 0)), false, Map.of(replica, "s-" + replica));
+        loop.listed(List.of(new Listed(replica, "east", "plain", Listed.Health.READY, 0)), false,
+                Map.of(replica, "s-" + replica));
     }
 
     @Test
@@ -160,7 +161,7 @@
         assertThat(line.sent()).isEmpty();
     }
 
-    /** The module's thread sent as the selector let the connection go: the failure ended its whole turn, and with it what others were owed. */
+    /** The module's thread sent as the selector let go: the failure ended its whole turn, and what others were owed with it. */
     @Test
     void aConnectionThatEndsAsItIsSentToCostsNobodyElseHisMessage() throws Exception {
         list(1);
@@ -197,7 +198,7 @@
         assertThat(fresh.sent()).as("it is the proxy's still").contains("s-2");
     }
 
-    /** Was a joining refused, the proxy's old stream would be gone for nothing: it never is, as its connection has nothing waiting yet. */
+    /** Was one refused, the proxy's old stream would be gone for nothing. None is: its own connection has nothing waiting yet. */
     @Test
     void aJoiningIsTakenHoweverMuchOfOthersWaits() throws Exception {
         list(1);
