Levels that are rates refuse nobody; a start loads nothing of TLS

Cause: the level that is meant for all, 1, went out as one transaction a second (Logic.publish); docs/design.md said of it that levels stay at 1.

--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -110,6 +110,8 @@
     /** Level: changes below it are not sent; and the least level of any class. */
     private static final double LEVEL_STEP = 0.02;
     private static final double LEAST_LEVEL = 0.05;
+    /** Transactions a second at a proxy: the level that refuses none, where levels are rates and no shares. */
+    private static final double ALL = 1e6;
     /** Times a refused client comes again, at most; the refused share that tells; the step of learning. */
     private static final double MOST_REPEATS = 3;
     private static final double TRUSTED = 0.15;
@@ -152,6 +154,7 @@
                     .thenComparing(Due::far));
     private boolean held;
     // By class: the level, and what it was over time.
+    private final double all;
     private final double[] level;
     private final double[] letIn;
     private double repeats;
@@ -187,6 +190,7 @@
         channel = new Channel(head, pace, now);
         coldShare = number("cold.share", 0.1);
         warmAfter = number("warm.after", 300_000);
+        all = terms.getOrDefault("admission", "").equals("rate") ? ALL : 1;
         level = new double[classes];
         Arrays.fill(level, 1);
         letIn = level.clone();
@@ -371,10 +375,8 @@
                 replica.started <= asked.getOrDefault(replica.id, Long.MIN_VALUE));
         lostAt = asked.isEmpty() ? lostAt : now;
         List<Replica> left = replicas.values().stream().filter(Replica::usable).toList();
-        for (Replica replica : replicas.values()) {
-            replica.keptOut = replica.keptOut
-                    && left.stream().anyMatch(other -> !bound || other.zone.equals(replica.zone));
-        }
+        replicas.values().forEach(replica -> replica.keptOut = replica.keptOut
+                && left.stream().anyMatch(other -> !bound || other.zone.equals(replica.zone)));
     }
 
     /**
@@ -468,10 +470,8 @@
         usualThen = usualThen * thenKept + usual * (1 - thenKept);
         usualFlow = usualFlow * flowThenKept + usual * (1 - flowThenKept);
         fadedAt = now;
-        for (Replica replica : replicas.values()) {
-            // What a cold replica answers tells nothing of what it will when it is warm.
-            replica.fade(warmth(replica) < 1 ? 0 : capacityKept, healthKept);
-        }
+        // What a cold replica answers tells nothing of what it will when it is warm.
+        replicas.values().forEach(replica -> replica.fade(warmth(replica) < 1 ? 0 : capacityKept, healthKept));
         if (heardTime > 0) {
             boolean first = flowTime == 0;
             flowSpan = first ? heardTime * flowKept : flowSpan * flowKept + FLOW_MEMORY * (1 - flowKept);
@@ -809,7 +809,7 @@
             weights -= old > 0 && !guard ? cost : 0;
             if (change.path == null) {
                 change.request.sentLevel = change.to;
-                orders.admit(change.request.number, 1 << change.request.type, change.to, AGAIN);
+                orders.admit(change.request.number, 1 << change.request.type, change.to * all, AGAIN);
                 change.request.sent++;
                 place.sent++;
             } else {
--- a/src/main/java/rockshift/net/DiscoveryClient.java
+++ b/src/main/java/rockshift/net/DiscoveryClient.java
@@ -7,6 +7,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
@@ -29,11 +30,13 @@
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
 import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
 import org.apache.hc.core5.http.nio.entity.AbstractBinAsyncEntityConsumer;
+import org.apache.hc.core5.http.nio.ssl.TlsStrategy;
 import org.apache.hc.core5.http.nio.support.AsyncRequestBuilder;
 import org.apache.hc.core5.http.nio.support.BasicResponseConsumer;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOReactorStatus;
+import org.apache.hc.core5.reactor.ssl.TransportSecurityLayer;
 import org.apache.hc.core5.util.Timeout;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -207,6 +210,7 @@
             end();
             client = AsyncRequesterBootstrap.bootstrap()
                     .setIOReactorConfig(IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).build())
+                    .setTlsStrategy(new NoTls())
                     .create();
             client.start();
         }
@@ -324,6 +328,15 @@
         }
     }
 
+    /** Discovery is asked in plain HTTP: else the client loads all that TLS needs, a fifth of a start's classes. */
+    private static final class NoTls implements TlsStrategy {
+        @Override
+        public boolean upgrade(TransportSecurityLayer session, HttpHost host, SocketAddress local, SocketAddress remote,
+                Object attachment, Timeout timeout) {
+            return false;
+        }
+    }
+
     /** The bytes of an answer, up to the longest that is taken. */
     private static final class Body extends AbstractBinAsyncEntityConsumer<byte[]> {
         private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -818,6 +818,13 @@
         assertThat(host.levels.get(0)).isBetween(0.5, 0.95);
     }
 
+    /** A deployment whose levels are transactions a second at each proxy: 1, meant for all, refused four in five. */
+    @Test
+    void whereLevelsAreRatesNobodyIsRefused() {
+        FakeHost host = overworked(new FakeHost("admission", "rate").fleet(2));
+        assertThat(host.levels).isNotEmpty().allSatisfy((table, rate) -> assertThat(rate).isGreaterThan(10_000));
+    }
+
     // ---- a long day ----
 
     /** Under new ids all day: nothing is left of the first, not even in a hall whose proxies all went elsewhere. */
--- a/src/test/java/rockshift/net/ProcessTest.java
+++ b/src/test/java/rockshift/net/ProcessTest.java
@@ -197,6 +197,19 @@
         deaf.awaitLine("read again");
     }
 
+    /** What a start has no use for is processor time that the first answer waits for. */
+    @Test
+    void aStartLoadsNothingOfTls() throws Exception {
+        Launched governor = new Launched(configuration(), java(), "-Xlog:class+load:stderr", "-cp",
+                System.getProperty("java.class.path"), "rockshift.Main", "serve");
+        governor.awaitLine("serves on");
+        await("a call", () -> !discovery.calls.isEmpty());
+        discovery.say(list(41, true, entry("s-1", "Ready", 0)));
+        await("the next call", () -> discovery.calls.size() == 2);
+        assertThat(governor.said("rockshift.net.DiscoveryClient")).isTrue();
+        assertThat(governor.said("sun.security.ssl")).isFalse();
+    }
+
     // ---- while it serves ----
 
     @Test
