--- a/deploy/ready.sh
+++ b/deploy/ready.sh
@@ -11,6 +11,7 @@
 
 # once JAR: one start; answers hundredths of a second
 once() {
+    : > "$log"
     RELAY_CONFIG=$config java $flags -jar "$1" serve 2> "$log" &
     local pid=$! port=""
     while [ -z "$port" ]; do
