--- a/src/main/java/rockshift/Logic.java
+++ b/src/main/java/rockshift/Logic.java
@@ -785,14 +785,15 @@
                 .noneMatch(path -> path.published > 0 && path.allowed)).collect(Collectors.toSet());
         for (Change change : changes()) {
             // What left the list comes out, and a table without a line gets one: at once, also when cut off.
-            // All else but a restarted replica's cut is gathered, or rides along: in a release it would fill
-            // the channel by handfuls, each with its heads. What nobody is bound to costs nothing.
+            // All else but a cold replica's cut is gathered, or rides along: in a release it would fill the
+            // channel by handfuls, each with its heads. Who doubles as the largest line left, rides too.
             Place place = change.request.place;
             boolean owed = change.path != null && (change.to == 0 || bare.contains(change.request));
             double old = change.path == null ? 0 : change.path.published;
             boolean cold = change.to < old && warmth(change.path.link) < 1;
-            boolean guard = owed || cold && (!first || 2 * change.to < old);
-            boolean atOnce = owed || cold && 2 * change.to < old || place.bound == 0
+            boolean lift = place.sent > 0 && old > 0 && change.to > 2 * old;
+            boolean guard = owed || lift || cold && (!first || 2 * change.to < old);
+            boolean atOnce = owed || lift || cold && 2 * change.to < old || place.bound == 0
                     || place.sent > 0 && old == 0 && change.path != null;
             if (reach == Reach.HOLD || reach == Reach.WITHDRAW && !owed || !gathered && !atOnce) {
                 continue;
@@ -871,8 +872,7 @@
         double least = FLOOR / allowed.size();
         double all = 1;
         // Guards a cold replica when one place asks for far more than it reported, or its proxies leave their
-        // best line out as they failed there: no table leans on it much more than the fleet does. What others
-        // are held back by is not there to be a part of.
+        // best line out as they failed there: no table leans on it more than the fleet does, of what all get.
         for (int i = 0; i < ITERATIONS; i++) {
             double left = all;
             all = 0;
--- a/src/test/java/rockshift/LogicTest.java
+++ b/src/test/java/rockshift/LogicTest.java
@@ -847,6 +847,7 @@
                 }
                 host.logic.listed(host.now, changes, true);
                 host.turn();
+                assertNoneLeansOnACold(host, started);
             }
             for (long replica = 1; replica < 200; replica++) {
                 boolean there = replica <= 60 ? second < 8 || (replica - 1) / 6 * 2 + 8 > second : started.containsKey(replica);
@@ -860,14 +861,18 @@
                 host.logic.usage(host.now, proxy, "cut", proxy % 7 == 0 ? 1 + chance.nextInt(20) : chance.nextInt(3), SECOND);
             }
             host.pass(1);
-            for (TreeMap<Long, Double> table : host.tables.values()) {
-                double all = table.values().stream().mapToDouble(weight -> weight).sum();
-                table.forEach((replica, weight) -> {
-                    if (host.now - started.getOrDefault(replica, Long.MIN_VALUE / 2) < 180_000 && table.size() > 5) {
-                        assertThat(weight / all).as("replica %d in a table of %d", replica, table.size()).isLessThan(0.3);
-                    }
-                });
-            }
+            assertNoneLeansOnACold(host, started);
+        }
+    }
+
+    private static void assertNoneLeansOnACold(FakeHost host, Map<Long, Long> started) {
+        for (TreeMap<Long, Double> table : host.tables.values()) {
+            double all = table.values().stream().mapToDouble(weight -> weight).sum();
+            table.forEach((replica, weight) -> {
+                if (host.now - started.getOrDefault(replica, Long.MIN_VALUE / 2) < 180_000 && table.size() > 5) {
+                    assertThat(weight / all).as("replica %d in a table of %d", replica, table.size()).isLessThan(0.3);
+                }
+            });
         }
     }
 
