--- a/review/standin/RestartForgetsHold.java
+++ b/review/standin/RestartForgetsHold.java
@@ -30,7 +30,7 @@
             cluster.recordLog("n1", "controlScope");
             record.add("exit %d", status);
         }
-        System.exit(status);
+        System.exit(Stand.exitCode(status));
     }
 
     private static int play(Stand.Cluster cluster, Stand.Record record, boolean trouble)
--- a/review/standin/Stand.java
+++ b/review/standin/Stand.java
@@ -41,6 +41,14 @@
                 .addShutdownHook(new Thread(() -> STARTED.forEach(Process::destroyForcibly)));
     }
 
+    /**
+     * Returns the exit code of the process for the status of a case. A broken rule is 11, as a Java
+     * process that fails for another reason ends with 1.
+     */
+    static int exitCode(int status) {
+        return status == 1 ? 11 : status;
+    }
+
     /** Milliseconds since the start of the case. */
     static long now() {
         return (System.nanoTime() - START_NANOS) / 1_000_000;
--- a/review/standin/WipedFounder.java
+++ b/review/standin/WipedFounder.java
@@ -40,7 +40,7 @@
             cluster.recordLog("n3", "leads in term");
             record.add("exit %d", status);
         }
-        System.exit(status);
+        System.exit(Stand.exitCode(status));
     }
 
     /** Keeps n1 as the only founder, in its own file; a member that is added later lists none. */
--- a/review/standin/ZoneLost.java
+++ b/review/standin/ZoneLost.java
@@ -53,7 +53,7 @@
         } finally {
             Stand.delete(folder);
         }
-        System.exit(status);
+        System.exit(Stand.exitCode(status));
     }
 
     private static int play(boolean trouble, Stand.Record record, Stand.Discovery discovery,
