--- a/src/main/java/rockshift/cluster/MemberConnections.java
+++ b/src/main/java/rockshift/cluster/MemberConnections.java
@@ -7,18 +7,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutionException;
 import java.util.random.RandomGenerator;
-import org.apache.hc.core5.http.HttpHost;
-import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.util.TimeValue;
-import org.apache.hc.core5.util.Timeout;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import rockshift.config.Section;
 import rockshift.distribution.wire.DownstreamConnections;
+import rockshift.net.OpenDescriptors;
+import rockshift.net.SupervisedReactor;
 import rockshift.wire.Frames;
 import rockshift.wire.Hello;
 
@@ -31,8 +26,6 @@
  * by the member's thread; the handler is called by the reactor's thread.
  */
 final class MemberConnections implements AutoCloseable {
-    private static final Logger LOG = LoggerFactory.getLogger(MemberConnections.class);
-
     /** The maximum number of bytes read from a connection at a time. */
     private static final int READ_CHUNK_BYTES = 64 << 10;
 
@@ -72,7 +65,7 @@
     private final Handler handler;
     private final DownstreamConnections subscribers;
     private final RandomGenerator random;
-    private final DefaultListeningIOReactor reactor;
+    private final SupervisedReactor reactor;
     private final Map<String, OutgoingPeer> peersByAddress = new ConcurrentHashMap<>();
 
     /** Used only by the reactor's thread, for the connection that is being read. */
@@ -94,7 +87,9 @@
                         .setSelectInterval(TimeValue.ofMilliseconds(IDLE_CHECK_INTERVAL_MS))
                         .build();
         reactor =
-                new DefaultListeningIOReactor(
+                new SupervisedReactor(
+                        "members",
+                        config,
                         (session, attachment) ->
                                 new MemberConnection(
                                         session,
@@ -102,15 +97,8 @@
                                         attachment instanceof OutgoingPeer outgoingPeer
                                                 ? outgoingPeer
                                                 : null),
-                        config,
-                        null,
-                        null,
-                        null,
-                        failure -> LOG.error("member listener failed", failure),
-                        null,
-                        null,
-                        session -> session.close(CloseMode.IMMEDIATE),
-                        null);
+                        SupervisedReactor.AcceptPolicy.WHILE_DESCRIPTORS_ARE_FREE,
+                        new OpenDescriptors());
     }
 
     Handler handler() {
@@ -136,17 +124,12 @@
      */
     int listen(InetSocketAddress address) throws IOException, InterruptedException {
         reactor.start();
-        try {
-            return ((InetSocketAddress) reactor.listen(address, null).get().getAddress()).getPort();
-        } catch (ExecutionException failure) {
-            throw new IOException(failure.getCause().getMessage(), failure.getCause());
-        }
+        return reactor.listen(address, null).getPort();
     }
 
     @Override
     public void close() throws InterruptedException {
-        reactor.initiateShutdown();
-        reactor.awaitShutdown(TimeValue.ofMilliseconds(SHUTDOWN_GRACE_MS));
+        reactor.close(SHUTDOWN_GRACE_MS);
     }
 
     /**
@@ -172,14 +155,7 @@
     }
 
     private void connect(String address, OutgoingPeer peer) {
-        InetSocketAddress remote = Section.parseAddress(address);
-        reactor.connect(
-                new HttpHost(remote.getHostString(), remote.getPort()),
-                remote,
-                null,
-                Timeout.ofMilliseconds(CONNECT_TIMEOUT_MS),
-                peer,
-                peer);
+        reactor.connect(Section.parseAddress(address), CONNECT_TIMEOUT_MS, peer, peer);
     }
 
     /** Sends this member's hello on all outgoing connections. */
--- a/src/main/java/rockshift/distribution/wire/DistributionReactor.java
+++ b/src/main/java/rockshift/distribution/wire/DistributionReactor.java
@@ -5,22 +5,19 @@
 import java.nio.ByteBuffer;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.concurrent.FutureCallback;
-import org.apache.hc.core5.http.HttpHost;
-import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.TimeValue;
-import org.apache.hc.core5.util.Timeout;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import rockshift.net.OpenDescriptors;
+import rockshift.net.SupervisedReactor;
 import rockshift.wire.ConnectionLog;
 import rockshift.wire.FramedConnection;
 
@@ -46,7 +43,7 @@
     private static final int SHUTDOWN_GRACE_MILLIS = 300;
     private static final int TICK_INTERVAL_MILLIS = 50;
 
-    private final DefaultListeningIOReactor reactor;
+    private final SupervisedReactor reactor;
     private final ScheduledExecutorService timer =
             Executors.newSingleThreadScheduledExecutor(daemonThreads("distribution-timer"));
     private final Set<Runnable> tickTasks = ConcurrentHashMap.newKeySet();
@@ -69,16 +66,13 @@
                         .setSelectInterval(TimeValue.ofMilliseconds(SELECT_INTERVAL_MILLIS))
                         .build();
         reactor =
-                new DefaultListeningIOReactor(
+                new SupervisedReactor(
+                        "distribution",
+                        config,
                         (session, factory) ->
                                 ((ConnectionFactory) factory).create(session, readBuffer),
-                        config,
-                        daemonThreads("distribution-io"),
-                        daemonThreads("distribution-listener"),
-                        null,
-                        failure -> LOG.error("distribution reactor failed", failure),
-                        null,
-                        session -> session.close(CloseMode.IMMEDIATE));
+                        SupervisedReactor.AcceptPolicy.WHILE_DESCRIPTORS_ARE_FREE,
+                        new OpenDescriptors());
         reactor.start();
         timer.scheduleWithFixedDelay(
                 () -> tickTasks.forEach(DistributionReactor::runGuarded),
@@ -103,12 +97,10 @@
     int listen(InetSocketAddress address, ConnectionFactory factory)
             throws IOException, InterruptedException {
         try {
-            return ((InetSocketAddress) reactor.listen(address, factory, null).get().getAddress())
-                    .getPort();
-        } catch (ExecutionException failure) {
+            return reactor.listen(address, factory).getPort();
+        } catch (IOException failure) {
             throw new IOException(
-                    "cannot listen on " + address + ": " + failure.getCause().getMessage(),
-                    failure.getCause());
+                    "cannot listen on " + address + ": " + failure.getMessage(), failure);
         }
     }
 
@@ -128,10 +120,8 @@
             ConnectionFactory factory,
             ConnectFailureListener failureListener) {
         reactor.connect(
-                new HttpHost(address.getHostString(), address.getPort()),
                 address,
-                null,
-                Timeout.ofMilliseconds(CONNECT_TIMEOUT_MILLIS),
+                CONNECT_TIMEOUT_MILLIS,
                 factory,
                 new FutureCallback<>() {
                     @Override
@@ -192,7 +182,6 @@
     @Override
     public void close() throws InterruptedException {
         timer.shutdownNow();
-        reactor.initiateShutdown();
-        reactor.awaitShutdown(TimeValue.ofMilliseconds(SHUTDOWN_GRACE_MILLIS));
+        reactor.close(SHUTDOWN_GRACE_MILLIS);
     }
 }
--- a/src/main/java/rockshift/server/ControllerServer.java
+++ b/src/main/java/rockshift/server/ControllerServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import rockshift.net.OpenDescriptors;
 
 /**
  * A controller on sockets: the event loop, the watch of discovery, and the listener with its
@@ -32,11 +33,20 @@
     /** Guarded by this object's lock. Once it is set, nothing is started any more. */
     private boolean closed;
 
-    ControllerServer(ControllerConfiguration configuration) {
-        this(configuration, null);
+    ControllerServer(ControllerConfiguration configuration, AgreedChangesSource source) {
+        this(configuration, source, new OpenDescriptors(configuration.descriptors()));
     }
 
-    ControllerServer(ControllerConfiguration configuration, AgreedChangesSource source) {
+    /**
+     * Creates a controller that shares its process with others.
+     *
+     * @param source source of agreed changes, or null
+     * @param descriptors the descriptors that the process may open
+     */
+    ControllerServer(
+            ControllerConfiguration configuration,
+            AgreedChangesSource source,
+            OpenDescriptors descriptors) {
         this.configuration = configuration;
         this.source = source;
         loop = new EventLoop(configuration.seed(), configuration.settings());
@@ -47,7 +57,7 @@
                 new DiscoveryWatch(configuration.discovery(), loop, DiscoveryWatch.newHttpClient());
         connections =
                 new ProxyConnections(loop, configuration.settings(), configuration.descriptors());
-        listener = new ProxyListener(connections);
+        listener = new ProxyListener(connections, descriptors);
     }
 
     void start() throws IOException, InterruptedException {
--- a/src/main/java/rockshift/server/ProxyConnections.java
+++ b/src/main/java/rockshift/server/ProxyConnections.java
@@ -9,16 +9,16 @@
 
 /**
  * The open connections of proxies, collectors and unidentified peers. It limits their number and
- * tracks the newest one of each peer. Except for its immutable fields, used only by the reactor's
- * thread.
+ * tracks the newest one of each peer. Except for its immutable fields, used only in the events of a
+ * reactor, which come one at a time.
  */
 final class ProxyConnections {
     /** Maximum bytes read from one connection before the others are served. */
     private static final int READ_CHUNK_BYTES = 1 << 16;
 
     /**
-     * Descriptors that are not available to peers: 24 for the program itself, two for calls to
-     * discovery, and the rest for connections that are being accepted or closed.
+     * Descriptors that are not available to peers in any case. If the program itself holds more,
+     * the listener accepts fewer connections than {@link #maxConnections}.
      */
     private static final int RESERVED_DESCRIPTORS = 48;
 
@@ -77,25 +77,36 @@
 
     /**
      * Adds a connection if the limit allows it or the oldest unidentified connection can be closed
-     * instead. The latter must have had time for its first message to be read.
+     * instead.
      */
     boolean admit(ProxyConnection arriving) {
-        if (open.size() >= maxConnections) {
-            ProxyConnection oldest =
-                    open.stream()
-                            .filter(connection -> !connection.isIdentified())
-                            .findFirst()
-                            .orElse(arriving);
-            if (oldest.ageMillis() < ProxyConnection.CROWDED_IDENTIFY_TIMEOUT_MS) {
-                return false;
-            }
-            open.remove(oldest);
-            oldest.close(CloseReason.CONNECTION_LIMIT, "");
+        if (open.size() >= maxConnections && !closeOldestUnidentified()) {
+            return false;
         }
         open.add(arriving);
         return true;
     }
 
+    /**
+     * Closes the oldest unidentified connection, if it has had time for its first message to be
+     * read.
+     *
+     * @return whether a connection was closed
+     */
+    boolean closeOldestUnidentified() {
+        ProxyConnection oldest =
+                open.stream()
+                        .filter(connection -> !connection.isIdentified())
+                        .findFirst()
+                        .orElse(null);
+        if (oldest == null || oldest.ageMillis() < ProxyConnection.CROWDED_IDENTIFY_TIMEOUT_MS) {
+            return false;
+        }
+        open.remove(oldest);
+        oldest.close(CloseReason.CONNECTION_LIMIT, "");
+        return true;
+    }
+
     /**
      * Records the connection of a peer that has identified itself, and closes its previous one:
      * nothing else closes the connection of a machine that vanished.
--- a/src/main/java/rockshift/server/ProxyListener.java
+++ b/src/main/java/rockshift/server/ProxyListener.java
@@ -2,25 +2,17 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.locks.LockSupport;
-import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
 import org.apache.hc.core5.reactor.IOReactorConfig;
-import org.apache.hc.core5.reactor.IOReactorStatus;
-import org.apache.hc.core5.reactor.IOWorkerStats;
-import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.util.TimeValue;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
+import rockshift.net.OpenDescriptors;
+import rockshift.net.SupervisedReactor;
 
 /**
  * Listens on the controller's port and passes accepted connections to {@link ProxyConnections}. It
- * owns the reactor's two threads, one that accepts and one that reads and writes all connections.
+ * owns the reactor with its threads: one that accepts and one that reads and writes all
+ * connections.
  */
 final class ProxyListener {
-    private static final Logger LOG = LoggerFactory.getLogger(ProxyListener.class);
-
     /** Connections that may wait to be accepted, for all proxies connecting at once. */
     private static final int ACCEPT_BACKLOG = 1024;
 
@@ -30,16 +22,18 @@
     /** Connections beyond the limit that may be being accepted, or being closed to make room. */
     private static final int MAX_CONNECTIONS_IN_TRANSIT = 16;
 
-    /** Pause of the accepting thread between checks for a free descriptor. */
-    private static final long ACCEPT_PAUSE_NANOS = 1_000_000;
-
     /** Time for all connections to close; a planned restart allows 0.7 s. */
     private static final int SHUTDOWN_GRACE_MS = 300;
 
     private final ProxyConnections connections;
-    private final DefaultListeningIOReactor reactor;
+    private final SupervisedReactor reactor;
 
-    ProxyListener(ProxyConnections connections) {
+    /**
+     * Opens the listener's selectors.
+     *
+     * @param descriptors the descriptors that the process may open
+     */
+    ProxyListener(ProxyConnections connections, OpenDescriptors descriptors) {
         this.connections = connections;
         IOReactorConfig config =
                 IOReactorConfig.custom()
@@ -50,17 +44,12 @@
                         .setSelectInterval(TimeValue.ofMilliseconds(IDLE_CHECK_INTERVAL_MS))
                         .build();
         reactor =
-                new DefaultListeningIOReactor(
-                        (session, attachment) -> connections.accept(session),
+                new SupervisedReactor(
+                        "proxies",
                         config,
-                        null,
-                        null,
-                        null,
-                        failure -> LOG.error("listener failed", failure),
-                        null,
-                        null,
-                        session -> session.close(CloseMode.IMMEDIATE),
-                        this::selectWorker);
+                        (session, attachment) -> connections.accept(session),
+                        new ConnectionLimit(),
+                        descriptors);
     }
 
     /**
@@ -70,34 +59,29 @@
      */
     int listen(InetSocketAddress address) throws IOException, InterruptedException {
         reactor.start();
-        try {
-            ListenerEndpoint endpoint = reactor.listen(address, null).get();
-            return ((InetSocketAddress) endpoint.getAddress()).getPort();
-        } catch (ExecutionException failure) {
-            throw new IOException(failure.getCause().getMessage(), failure.getCause());
-        }
+        return reactor.listen(address, null).getPort();
     }
 
     /**
-     * Selects the reactor's only worker for an accepted connection. The accepting thread waits here
-     * while connections are scarce: it accepts faster than the worker closes, and it terminates for
-     * good if an accept finds no free descriptor.
+     * Closes the port and all connections, and waits for that at most {@link #SHUTDOWN_GRACE_MS}.
      */
-    private int selectWorker(IOWorkerStats[] workers) {
-        int maxChannels = connections.maxConnections() + MAX_CONNECTIONS_IN_TRANSIT;
-        while (reactor.getStatus() == IOReactorStatus.ACTIVE
-                && workers[0].totalChannelCount() + workers[0].pendingChannelCount()
-                        > maxChannels) {
-            LockSupport.parkNanos(ACCEPT_PAUSE_NANOS);
-        }
-        return 0;
+    void close() throws InterruptedException {
+        reactor.close(SHUTDOWN_GRACE_MS);
     }
 
     /**
-     * Closes the port and all connections, and waits for that at most {@link #SHUTDOWN_GRACE_MS}.
+     * Lets the accepting thread wait while connections are scarce, since it accepts faster than the
+     * I/O thread closes.
      */
-    void close() throws InterruptedException {
-        reactor.initiateShutdown();
-        reactor.awaitShutdown(TimeValue.ofMilliseconds(SHUTDOWN_GRACE_MS));
+    private final class ConnectionLimit implements SupervisedReactor.AcceptPolicy {
+        @Override
+        public boolean mayAccept(int channels) {
+            return channels <= connections.maxConnections() + MAX_CONNECTIONS_IN_TRANSIT;
+        }
+
+        @Override
+        public void descriptorsShort() {
+            connections.closeOldestUnidentified();
+        }
     }
 }
