--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -14,6 +14,8 @@
   founder "n2" { address = "127.0.0.1:7102" } # a member that is added later lists none
   founder "n3" { address = "127.0.0.1:7103" }
 
+  initial_cluster = "new" # a founder with a new folder may found; "existing" once the cluster runs: it waits to be added
+
   # route "n2" { address = "127.0.0.1:9102" } # another address of a member, for this member only
 
   election  = "1s"       # minimum time without contact from a leader before an election; 50ms to 60s
--- a/src/main/java/rockshift/cluster/ClusterBootstrap.java
+++ b/src/main/java/rockshift/cluster/ClusterBootstrap.java
@@ -1,10 +1,7 @@
 package rockshift.cluster;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import rockshift.raft.Member;
@@ -13,40 +10,45 @@
 import rockshift.wire.Hello;
 
 /**
- * Makes a member with an empty folder part of a cluster. The founders found a cluster once each has
- * received hellos without a cluster from all the others; a single founder does so at once. A member
- * that is named in the membership of an existing cluster joins that cluster. Used only by the
- * member's thread, except {@link #memberId} and {@link #clusterId}.
+ * Makes a member with an empty folder part of a cluster, as {@link FoundingPolicy} decides, and
+ * detects that the member's cluster has been superseded. Used only by the member's thread, except
+ * {@link #memberId} and {@link #clusterId}.
  */
 final class ClusterBootstrap {
     private static final Logger LOG = LoggerFactory.getLogger(ClusterBootstrap.class);
 
-    /** The cluster id of a member that is not part of a cluster. */
-    private static final long NO_CLUSTER = 0;
-
-    private static final long HASH_FACTOR = 31;
-
     private final ClusterSettings settings;
     private final long memberId;
     private final DurableLog log;
     private final Engine engine;
-
-    /** The last hello received from each member, by name. */
-    private final Map<String, Hello> lastHellos = new TreeMap<>();
+    private final FoundingPolicy policy;
 
     /** Publishes the cluster that this member is part of to the reactor's thread. */
     private volatile long clusterId;
 
+    /** Whether another cluster counts this member's name among its members under another id. */
+    private boolean superseded;
+
+    private boolean failureLogged;
+
     ClusterBootstrap(
             ClusterSettings settings,
             DurableLog.Recovered recovered,
             DurableLog log,
-            Engine engine) {
+            Engine engine,
+            long nowMillis) {
         this.settings = settings;
         this.log = log;
         this.engine = engine;
         memberId = recovered.memberId();
         clusterId = recovered.clusterId();
+        policy =
+                new FoundingPolicy(
+                        settings.name(),
+                        memberId,
+                        settings.founders(),
+                        settings.initialCluster(),
+                        nowMillis);
     }
 
     /** Returns this member's id, drawn at random when its folder was created. */
@@ -60,79 +62,107 @@
     }
 
     boolean isPartOfCluster() {
-        return clusterId != NO_CLUSTER;
+        return clusterId != FoundingPolicy.NO_CLUSTER;
+    }
+
+    /**
+     * Returns whether this member must not take part any more: it began its cluster while it could
+     * not hear of an older one, which it was a member of.
+     */
+    boolean isSuperseded() {
+        return superseded;
     }
 
     /** Records the hello of another member; warns if it is part of another cluster. */
     void helloReceived(Hello hello) {
-        lastHellos.put(hello.name(), hello);
-        if (isPartOfCluster() && hello.cluster() != NO_CLUSTER && hello.cluster() != clusterId) {
+        policy.helloReceived(hello);
+        if (hello.cluster() == FoundingPolicy.NO_CLUSTER) {
+            return;
+        }
+        if (!isPartOfCluster()) {
+            warnUnlessMember(hello);
+        } else if (hello.cluster() != clusterId) {
             LOG.warn(
                     "peer is a member of another cluster peer={} cluster={} expected={}",
                     hello.name(),
                     Long.toHexString(hello.cluster()),
                     Long.toHexString(clusterId));
+            detectSuperseded(hello);
+        }
+    }
+
+    private void warnUnlessMember(Hello hello) {
+        if (hello.members().get(memberId) == null) {
+            LOG.warn(
+                    "this member is not in the membership of its peer: add it with"
+                            + " 'cluster member add {} {}' peer={}",
+                    settings.name(),
+                    settings.address(),
+                    hello.name());
         }
     }
 
     /**
-     * Joins a cluster, or founds one with all founders, if that is possible now.
-     *
-     * @param hello the hello just received from another member, or null at startup
+     * Compares both memberships: the other cluster knows this member's name under another id, whose
+     * folder is lost, while this cluster does not know the peer.
      */
-    void tryJoinOrFound(Hello hello) {
+    private void detectSuperseded(Hello hello) {
+        Member known = hello.members().byName(settings.name());
+        boolean knownUnderAnotherId = known != null && known.id() != memberId;
+        boolean peerKnownHere = engine.raft().membership().byName(hello.name()) != null;
+        if (superseded || !knownUnderAnotherId || peerKnownHere) {
+            return;
+        }
+        superseded = true;
+        LOG.error(
+                "this cluster is superseded, no longer taking part: remove folder={}, restart, and"
+                        + " replace the member in cluster={} known there by peer={}",
+                settings.folder(),
+                Long.toHexString(hello.cluster()),
+                hello.name());
+    }
+
+    /** Forgets the hello of a member whose connection has ended. */
+    void helloEnded(Hello hello) {
+        policy.helloEnded(hello);
+    }
+
+    /** Joins or founds a cluster if that is decided now. Called until it is part of one. */
+    void update(long nowMillis) {
+        policy.tick(nowMillis);
+        FoundingPolicy.Decision decision = policy.decide();
         try {
-            if (hello == null || hello.cluster() == NO_CLUSTER) {
-                foundWithAllFounders();
-            } else if (hello.members().get(memberId) != null) {
-                join(hello);
-            } else {
-                LOG.warn(
-                        "this member is not in the membership of its peer: add it with"
-                                + " 'cluster member add {} {}' peer={}",
-                        settings.name(),
-                        settings.address(),
-                        hello.name());
+            if (decision instanceof FoundingPolicy.Decision.Join join) {
+                join(join.by());
+            } else if (decision instanceof FoundingPolicy.Decision.Found found) {
+                found(found);
             }
         } catch (IOException failure) {
-            LOG.error("cluster bootstrap failed cause=\"{}\"", failure.getMessage());
+            logFailure(failure);
+        }
+    }
+
+    /** Logs a failure once, since each is repeated until it succeeds. */
+    private void logFailure(IOException failure) {
+        if (!failureLogged) {
+            LOG.error("cluster bootstrap failed cause=\"{}\"", failure.toString());
         }
+        failureLogged = true;
     }
 
-    private void join(Hello hello) throws IOException {
-        log.joinCluster(hello.cluster(), List.of());
-        clusterId = hello.cluster();
-        LOG.info("cluster joined id={} by={}", Long.toHexString(clusterId), hello.name());
+    private void join(Hello by) throws IOException {
+        log.joinCluster(by.cluster(), List.of());
+        clusterId = by.cluster();
+        LOG.info("cluster joined id={} by={}", Long.toHexString(clusterId), by.name());
     }
 
-    /**
-     * Founds a cluster. Every founder derives the same cluster id and members, since all use the
-     * same names and member ids in the same order.
-     */
-    private void foundWithAllFounders() throws IOException {
-        if (!settings.founders().containsKey(settings.name())) {
-            return;
-        }
-        List<Member> founders = new ArrayList<>();
-        long hash = 1;
-        for (Map.Entry<String, String> founder : new TreeMap<>(settings.founders()).entrySet()) {
-            String name = founder.getKey();
-            boolean self = name.equals(settings.name());
-            Hello hello = lastHellos.get(name);
-            if (!self && (hello == null || hello.cluster() != NO_CLUSTER)) {
-                return;
-            }
-            long id = self ? memberId : hello.id();
-            hash = hash * HASH_FACTOR + id;
-            founders.add(new Member(id, name, founder.getValue(), Member.Role.VOTER));
-        }
-        long newClusterId = hash >>> 1 | 1;
-        Snapshot first = log.joinCluster(newClusterId, founders);
-        clusterId = newClusterId;
+    private void found(FoundingPolicy.Decision.Found decision) throws IOException {
+        Snapshot first = log.joinCluster(decision.cluster(), decision.founders());
+        clusterId = decision.cluster();
         engine.bootstrap(first.membership());
         LOG.info(
                 "cluster founded id={} founders={}",
                 Long.toHexString(clusterId),
-                founders.stream().map(Member::name).toList());
+                decision.founders().stream().map(Member::name).toList());
     }
 }
--- a/src/main/java/rockshift/cluster/ClusterMember.java
+++ b/src/main/java/rockshift/cluster/ClusterMember.java
@@ -89,7 +89,7 @@
                             distribution.downstream(),
                             new SplittableRandom(random.nextLong()));
             engine = newEngine(recovered, new SplittableRandom(random.nextLong()));
-            bootstrap = new ClusterBootstrap(settings, recovered, log, engine);
+            bootstrap = new ClusterBootstrap(settings, recovered, log, engine, nowMillis());
         } catch (IOException | RuntimeException failure) {
             disk.close();
             throw failure;
@@ -128,7 +128,7 @@
                         diskWriter,
                         distribution);
         return new CommandService(
-                inputs, engine, agreed, controller, appliedChanges.history(), status);
+                inputs, bootstrap, engine, agreed, controller, appliedChanges.history(), status);
     }
 
     /** Starts to listen and to take part in the cluster. */
@@ -175,15 +175,16 @@
         }
     }
 
+    private static long nowMillis() {
+        return System.nanoTime() / NANOS_PER_MILLI;
+    }
+
     private static long nowTicks() {
         return System.nanoTime() / Ticks.NANOS_PER_TICK;
     }
 
     private void run() {
         List<Runnable> batch = new ArrayList<>();
-        if (!bootstrap.isPartOfCluster()) {
-            tryJoinOrFoundCluster(null);
-        }
         while (!closed) {
             try {
                 runIteration(batch);
@@ -213,10 +214,28 @@
             }
             batch.clear();
         }
+        if (bootstrap.isSuperseded()) {
+            stopTakingPart();
+            return;
+        }
+        if (!bootstrap.isPartOfCluster()) {
+            joinOrFoundCluster();
+        }
         engine.run();
         updateDependents();
     }
 
+    /**
+     * Limits the controller as without a quorum and answers the open calls. The engine is not run
+     * any more, so that nothing is acknowledged, committed or applied; the member's status can
+     * still be read.
+     */
+    private void stopTakingPart() {
+        leading = false;
+        quorumReporter.stopped();
+        engine.abandonProposals();
+    }
+
     /** Updates the distribution, the hello, the controller and the connections. */
     private void updateDependents() {
         leading = engine.raft().isLeader();
@@ -226,9 +245,7 @@
             connections.sendHello();
         }
         quorumReporter.update(engine.raft());
-        connections.update(
-                directory.otherAddresses(bootstrap.isPartOfCluster()),
-                System.nanoTime() / NANOS_PER_MILLI);
+        connections.update(directory.otherAddresses(bootstrap.isPartOfCluster()), nowMillis());
     }
 
     /** Updates the hello and the peers' addresses to the current cluster and membership. */
@@ -237,8 +254,8 @@
         directory.invalidate();
     }
 
-    private void tryJoinOrFoundCluster(Hello other) {
-        bootstrap.tryJoinOrFound(other);
+    private void joinOrFoundCluster() {
+        bootstrap.update(nowMillis());
         if (bootstrap.isPartOfCluster()) {
             updateHello();
             connections.sendHello();
@@ -250,9 +267,6 @@
         if (other.members().get(bootstrap.memberId()) != null) {
             directory.membershipReceived(other.members());
         }
-        if (!bootstrap.isPartOfCluster()) {
-            tryJoinOrFoundCluster(other);
-        }
     }
 
     /** Handles received frames. Called by the reactor's thread. */
@@ -267,6 +281,11 @@
             inputs.offer(() -> handleHello(other));
         }
 
+        @Override
+        public void helloEnded(Hello other) {
+            inputs.offer(() -> bootstrap.helloEnded(other));
+        }
+
         @Override
         public void messageReceived(byte[] payload, long cluster) throws IOException {
             if (bootstrap.isPartOfCluster() && cluster == bootstrap.clusterId()) {
--- a/src/main/java/rockshift/cluster/ClusterSettings.java
+++ b/src/main/java/rockshift/cluster/ClusterSettings.java
@@ -18,6 +18,7 @@
  *     that is added later
  * @param routes by name, the addresses at which this member reaches others, where they differ from
  *     the agreed addresses
+ * @param initialCluster whether this member may found a cluster
  * @param subscribers the maximum number of relays and controllers that subscribe to this member at
  *     a time
  */
@@ -31,7 +32,19 @@
         Timing timing,
         Engine.Compaction compaction,
         Minority minority,
+        InitialCluster initialCluster,
         int subscribers) {
+    /**
+     * What a founder with an empty folder may assume. The operator's file contains the names of the
+     * constants in lower case.
+     */
+    public enum InitialCluster {
+        /** There may be no cluster yet; the founder begins one if it hears of none. */
+        NEW,
+        /** There is a cluster, and the founder waits until it is added to it. */
+        EXISTING
+    }
+
     /**
      * What a controller may still change without a quorum, as chosen by the operator: everything,
      * removals only, or nothing. The operator's file contains the names of the constants in lower
@@ -60,6 +73,7 @@
         Timing timing = readTiming(cluster);
         Engine.Compaction compaction = readCompaction(cluster);
         Minority minority = readMinority(cluster);
+        InitialCluster initialCluster = readInitialCluster(cluster);
         Map<String, String> founders = readFounders(cluster, name);
         Map<String, String> routes = readAddresses(cluster, "route");
         int subscribers =
@@ -79,6 +93,7 @@
                 timing,
                 compaction,
                 minority,
+                initialCluster,
                 subscribers);
     }
 
@@ -109,6 +124,11 @@
         return Minority.valueOf(word.toUpperCase(Locale.ROOT));
     }
 
+    private static InitialCluster readInitialCluster(Section cluster) throws InvalidFileException {
+        String word = cluster.choice("initial_cluster", "new", "new", "existing");
+        return InitialCluster.valueOf(word.toUpperCase(Locale.ROOT));
+    }
+
     private static Map<String, String> readFounders(Section cluster, String name)
             throws InvalidFileException {
         Map<String, String> founders = readAddresses(cluster, "founder");
--- a/src/main/java/rockshift/cluster/CommandService.java
+++ b/src/main/java/rockshift/cluster/CommandService.java
@@ -4,7 +4,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import rockshift.raft.Member;
+import rockshift.raft.ProposalRejection;
 import rockshift.wire.Frames;
 
 /**
@@ -16,7 +18,11 @@
     /** The connection to reply on, and the caller's number of the call. */
     private record Caller(MemberConnection connection, long callNumber) {}
 
+    /** Operations that a member also executes once its cluster is superseded. */
+    private static final Set<String> LOCAL_OPERATIONS = Set.of("status", "log");
+
     private final MemberInputs inputs;
+    private final ClusterBootstrap bootstrap;
     private final Engine engine;
     private final AgreedState agreed;
     private final LocalController controller;
@@ -30,12 +36,14 @@
 
     CommandService(
             MemberInputs inputs,
+            ClusterBootstrap bootstrap,
             Engine engine,
             AgreedState agreed,
             LocalController controller,
             ChangeHistory history,
             StatusWriter status) {
         this.inputs = inputs;
+        this.bootstrap = bootstrap;
         this.engine = engine;
         this.agreed = agreed;
         this.controller = controller;
@@ -74,6 +82,11 @@
 
     private void execute(long request, CommandCall call) throws IOException {
         String operation = call.text("op", "");
+        if (bootstrap.isSuperseded() && !LOCAL_OPERATIONS.contains(operation)) {
+            // As if another member led: a client that knows others asks them.
+            answer(request, Engine.Answer.refused(ProposalRejection.NOT_LEADER.code(), null));
+            return;
+        }
         switch (operation) {
             case "status" -> reply(request, status::write);
             case "log" -> {
--- a/src/main/java/rockshift/cluster/Engine.java
+++ b/src/main/java/rockshift/cluster/Engine.java
@@ -252,7 +252,7 @@
      * Answers the pending proposals as unknown. This member no longer leads and cannot know whether
      * they will be committed, so their clients are not kept waiting.
      */
-    private void abandonProposals() {
+    void abandonProposals() {
         Answer unknown = Answer.refused(Answer.UNKNOWN, leaderAddress());
         pending.abandonAll(request -> environment.answer(request, unknown));
     }
--- a/src/main/java/rockshift/cluster/MemberConnection.java
+++ b/src/main/java/rockshift/cluster/MemberConnection.java
@@ -137,6 +137,9 @@
         if (outgoingPeer != null) {
             outgoingPeer.disconnected(this);
         }
+        if (peerHello != null) {
+            connections.handler().helloEnded(peerHello);
+        }
         if (role == Role.SUBSCRIBER) {
             connections.subscribers().ended(this);
         } else {
--- a/src/main/java/rockshift/cluster/MemberConnections.java
+++ b/src/main/java/rockshift/cluster/MemberConnections.java
@@ -35,7 +35,8 @@
      */
     private static final int ACCEPT_BACKLOG = 1_024;
 
-    private static final int CONNECT_TIMEOUT_MS = 1_000;
+    /** How long an attempt to connect may take. */
+    static final int CONNECT_TIMEOUT_MS = 1_000;
 
     /** How often the reactor checks for idle connections. */
     private static final int IDLE_CHECK_INTERVAL_MS = 50;
@@ -50,6 +51,9 @@
 
         void helloReceived(Hello hello);
 
+        /** Handles the end of the connection on which a hello was received. */
+        void helloEnded(Hello hello);
+
         /**
          * Handles a message of the protocol.
          *
--- a/src/main/java/rockshift/cluster/OutgoingPeer.java
+++ b/src/main/java/rockshift/cluster/OutgoingPeer.java
@@ -20,7 +20,8 @@
      */
     private static final long MIN_PAUSE_MS = 20;
 
-    private static final long MAX_PAUSE_MS = 1_000;
+    /** The longest pause between two attempts. */
+    static final long MAX_PAUSE_MS = 1_000;
 
     private final String address;
 
--- a/src/main/java/rockshift/cluster/QuorumContactReporter.java
+++ b/src/main/java/rockshift/cluster/QuorumContactReporter.java
@@ -51,9 +51,12 @@
         }
     }
 
-    /** Limits the controller as without a quorum, since this member has stopped. */
+    /** Limits the controller as without a quorum, since this member takes no part any more. */
     void stopped() {
-        controller.setPermittedChanges(withoutQuorum());
+        if (withoutQuorum() != reported) {
+            reported = withoutQuorum();
+            controller.setPermittedChanges(reported);
+        }
     }
 
     private LocalController.PermittedChanges withoutQuorum() {
--- a/src/main/java/rockshift/cluster/StatusWriter.java
+++ b/src/main/java/rockshift/cluster/StatusWriter.java
@@ -59,16 +59,19 @@
         json.writeNumberField("term", status.term());
         json.writeStringField("leader", directory.nameOf(status.leader()));
         json.writeStringField("leader_address", leader == null ? "" : leader.address());
-        json.writeBooleanField("in_touch", raft.hasQuorumContact());
+        json.writeBooleanField("in_touch", raft.hasQuorumContact() && !bootstrap.isSuperseded());
         json.writeStringField("orders", String.valueOf(quorum.reported()).toLowerCase(Locale.ROOT));
         json.writeBooleanField("leased", status.holdsLease());
     }
 
     /**
-     * Returns the role in the status, where commands and their users know a pre-candidate as a
-     * trial.
+     * Returns the role in the status. A member of a superseded cluster has none; elsewhere commands
+     * and their users know a pre-candidate as a trial.
      */
-    private static String roleWord(RaftNode.Role role) {
+    private String roleWord(RaftNode.Role role) {
+        if (bootstrap.isSuperseded()) {
+            return "superseded";
+        }
         return role == RaftNode.Role.PRE_CANDIDATE ? "trial" : role.name().toLowerCase(Locale.ROOT);
     }
 
--- a/src/main/java/rockshift/testkit/ClusterBenchmark.java
+++ b/src/main/java/rockshift/testkit/ClusterBenchmark.java
@@ -250,6 +250,7 @@
                                         512),
                                 new Engine.Compaction(10_000, 4 << 20),
                                 ClusterSettings.Minority.WITHDRAW,
+                                ClusterSettings.InitialCluster.NEW,
                                 DistributionSettings.DEFAULT_SUBSCRIBERS),
                         new IdleController());
         members[member].start();
--- a/src/test/java/rockshift/cluster/ClusterFixture.java
+++ b/src/test/java/rockshift/cluster/ClusterFixture.java
@@ -36,6 +36,7 @@
     final Map<Integer, LocalController.PermittedChanges> permittedChanges =
             new ConcurrentHashMap<>();
     final SplittableRandom random = new SplittableRandom(5);
+    ClusterSettings.InitialCluster initialCluster = ClusterSettings.InitialCluster.NEW;
     int subscribers = DistributionSettings.DEFAULT_SUBSCRIBERS;
 
     private final class FakeController implements LocalController {
@@ -118,6 +119,7 @@
                                 new Timing(4_000, 800, 0.05, true, 512),
                                 new Engine.Compaction(100, 1 << 20),
                                 ClusterSettings.Minority.WITHDRAW,
+                                initialCluster,
                                 subscribers),
                         new FakeController(number));
         members[number].start();
--- /dev/null
+++ b/src/test/java/rockshift/cluster/ReplacedFounderTest.java
@@ -0,0 +1,140 @@
+package rockshift.cluster;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static rockshift.cluster.ClusterClient.newCall;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** A cluster that one member founded and two joined, whose founder loses its folder. */
+class ReplacedFounderTest extends ClusterFixture {
+    /** Longer than a founder listens, and than an election takes after that. */
+    private static final long WATCHED_MS = FoundingPolicy.LISTEN_MS + 2_000;
+
+    private void startFounderAndTwoAdded(ClusterClient client) throws Exception {
+        start(0, 1);
+        await(() -> leader() == 0);
+        for (int added = 1; added < 3; added++) {
+            start(added, 0);
+            add(client, added);
+        }
+        client.change(hold("s-1"), false, deadlineMillis());
+        await(
+                () ->
+                        versions.size() == 3
+                                && versions.values().stream().allMatch(version -> version == 1));
+    }
+
+    private void add(ClusterClient client, int number) throws Exception {
+        String at = clientLinks[number].address();
+        long id = status(client, at).path("number").asLong();
+        JsonNode answer =
+                client.sendToLeader(
+                        newCall("add").put("name", "n" + number).put("address", at).put("id", id),
+                        deadlineMillis());
+        assertThat(answer.has("refused")).as("%s", answer).isFalse();
+        await(() -> roleOf(client, number).equals("voter"));
+    }
+
+    private String roleOf(ClusterClient client, int number) throws IOException {
+        for (JsonNode member : status(client, clientLinks[number].address()).path("members")) {
+            if (member.path("name").asText().equals("n" + number)) {
+                return member.path("role").asText();
+            }
+        }
+        return "";
+    }
+
+    private static JsonNode status(ClusterClient client, String address) throws IOException {
+        return client.send(address, newCall("status"));
+    }
+
+    private void loseFolder(int number) throws Exception {
+        members[number].close();
+        members[number] = null;
+        versions.remove(number);
+        permittedChanges.remove(number);
+        try (Stream<Path> files = Files.list(folder.resolve("d" + number))) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    /**
+     * Guards against a second cluster: the founder found no cluster in its empty folder, founded
+     * one at once, led it and acknowledged changes that the others never got.
+     */
+    @Test
+    void replacedSoleFounderFoundsNoSecondCluster() throws Exception {
+        try (ClusterClient client = client(0, 1, 2);
+                ClusterClient replaced = client(0)) {
+            startFounderAndTwoAdded(client);
+            loseFolder(0);
+            start(0, 1);
+            String at = clientLinks[0].address();
+            long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WATCHED_MS);
+            while (System.nanoTime() < end) {
+                assertThat(status(replaced, at).path("cluster").asText()).isEqualTo("0");
+                TimeUnit.MILLISECONDS.sleep(50);
+            }
+            assertThat(permittedChanges.get(0))
+                    .isEqualTo(LocalController.PermittedChanges.WITHDRAW);
+            client.change(hold("s-2"), false, deadlineMillis());
+            await(() -> versions.get(1) == 2 && versions.get(2) == 2);
+            assertThat(
+                            client.sendToLeader(
+                                            newCall("remove").put("name", "n0"), deadlineMillis())
+                                    .has("refused"))
+                    .isFalse();
+            add(client, 0);
+            await(() -> versions.getOrDefault(0, 0L) == 2);
+        }
+    }
+
+    /**
+     * A replaced founder that no member can reach begins a cluster, as at a first start. Guards
+     * against two leaders after the partition: it must end its part, limit its controller, and
+     * acknowledge nothing more.
+     */
+    @Test
+    void replacedFounderThatWasCutOffEndsItsPartOnceItHearsOfItsCluster() throws Exception {
+        try (ClusterClient client = client(0, 1, 2);
+                ClusterClient alone = client(0)) {
+            startFounderAndTwoAdded(client);
+            loseFolder(0);
+            setPartitioned(0, true);
+            start(0, 1);
+            await(() -> members[0].isLeader());
+            alone.change(hold("s-7"), false, deadlineMillis());
+            setPartitioned(0, false);
+            String at = clientLinks[0].address();
+            await(() -> status(alone, at).path("role").asText().equals("superseded"));
+            assertThat(members[0].isLeader()).isFalse();
+            assertThat(permittedChanges.get(0))
+                    .isEqualTo(LocalController.PermittedChanges.WITHDRAW);
+            assertThat(alone.send(at, newCall("open").put("session", 5)).path("refused").asText())
+                    .isEqualTo("not-leader");
+            client.change(hold("s-2"), false, deadlineMillis());
+            await(() -> versions.get(1) == 2 && versions.get(2) == 2);
+            assertThat(versions.get(0)).as("changes of its own cluster").isEqualTo(1);
+        }
+    }
+
+    /** Guards against a founder that founds again although its operator says there is a cluster. */
+    @Test
+    void founderOfAnExistingClusterFoundsNothing() throws Exception {
+        initialCluster = ClusterSettings.InitialCluster.EXISTING;
+        start(0, 1);
+        try (ClusterClient client = client(0)) {
+            TimeUnit.MILLISECONDS.sleep(WATCHED_MS);
+            assertThat(status(client, clientLinks[0].address()).path("cluster").asText())
+                    .isEqualTo("0");
+        }
+    }
+}
