--- a/src/main/java/rockshift/cluster/ClusterBootstrap.java
+++ b/src/main/java/rockshift/cluster/ClusterBootstrap.java
@@ -1,7 +1,9 @@
 package rockshift.cluster;
 
 import java.io.IOException;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import rockshift.raft.Member;
@@ -31,6 +33,9 @@
 
     private boolean failureLogged;
 
+    /** The other clusters that were logged, by the name of the peer. */
+    private final Map<String, Long> warnedClusters = new HashMap<>();
+
     ClusterBootstrap(
             ClusterSettings settings,
             DurableLog.Recovered recovered,
@@ -76,23 +81,33 @@
     /** Records the hello of another member; warns if it is part of another cluster. */
     void helloReceived(Hello hello) {
         policy.helloReceived(hello);
-        if (hello.cluster() == FoundingPolicy.NO_CLUSTER) {
+        if (hello.cluster() == FoundingPolicy.NO_CLUSTER || hello.cluster() == clusterId) {
+            warnedClusters.remove(hello.name());
             return;
         }
+        // Hellos are repeated; each peer's cluster is logged once.
+        Long warned = warnedClusters.put(hello.name(), hello.cluster());
+        boolean isNew = warned == null || warned != hello.cluster();
         if (!isPartOfCluster()) {
-            warnUnlessMember(hello);
-        } else if (hello.cluster() != clusterId) {
+            warnUnlessMember(hello, isNew);
+        } else {
+            warnOfOtherCluster(hello, isNew);
+            detectSuperseded(hello);
+        }
+    }
+
+    private void warnOfOtherCluster(Hello hello, boolean isNew) {
+        if (isNew) {
             LOG.warn(
                     "peer is a member of another cluster peer={} cluster={} expected={}",
                     hello.name(),
                     Long.toHexString(hello.cluster()),
                     Long.toHexString(clusterId));
-            detectSuperseded(hello);
         }
     }
 
-    private void warnUnlessMember(Hello hello) {
-        if (hello.members().get(memberId) == null) {
+    private void warnUnlessMember(Hello hello, boolean isNew) {
+        if (isNew && hello.members().get(memberId) == null) {
             LOG.warn(
                     "this member is not in the membership of its peer: add it with"
                             + " 'cluster member add {} {}' peer={}",
@@ -153,12 +168,14 @@
     private void join(Hello by) throws IOException {
         log.joinCluster(by.cluster(), List.of());
         clusterId = by.cluster();
+        warnedClusters.clear();
         LOG.info("cluster joined id={} by={}", Long.toHexString(clusterId), by.name());
     }
 
     private void found(FoundingPolicy.Decision.Found decision) throws IOException {
         Snapshot first = log.joinCluster(decision.cluster(), decision.founders());
         clusterId = decision.cluster();
+        warnedClusters.clear();
         engine.bootstrap(first.membership());
         LOG.info(
                 "cluster founded id={} founders={}",
--- a/src/main/java/rockshift/cluster/ClusterMember.java
+++ b/src/main/java/rockshift/cluster/ClusterMember.java
@@ -36,6 +36,12 @@
     /** How long the member's thread waits for an input before it reads the clock again. */
     private static final long MAX_WAIT_MS = 10;
 
+    /**
+     * Interval at which the hello is repeated. Frames may be dropped, and a peer that has missed
+     * the hello of a new cluster drops all messages of that cluster.
+     */
+    private static final long HELLO_INTERVAL_MS = 1_000;
+
     /** How long {@link #close} waits for each thread to end. */
     private static final long STOP_TIMEOUT_MS = 500;
 
@@ -64,6 +70,9 @@
     /** Whether this member is the leader, as last seen by the member's thread. */
     private volatile boolean leading;
 
+    /** When the hello was last sent. Used only by the member's thread. */
+    private long helloSentMillis;
+
     private int port;
 
     /**
@@ -242,12 +251,19 @@
         distribution.refresh(bootstrap.clusterId(), agreed, engine.raft());
         if (!hello.hasMembership(engine.raft().membership())) {
             updateHello();
-            connections.sendHello();
+            sendHello();
+        } else if (nowMillis() - helloSentMillis >= HELLO_INTERVAL_MS) {
+            sendHello();
         }
         quorumReporter.update(engine.raft());
         connections.update(directory.otherAddresses(bootstrap.isPartOfCluster()), nowMillis());
     }
 
+    private void sendHello() {
+        helloSentMillis = nowMillis();
+        connections.sendHello();
+    }
+
     /** Updates the hello and the peers' addresses to the current cluster and membership. */
     private void updateHello() {
         hello.update(bootstrap.clusterId(), engine.raft().membership());
@@ -258,7 +274,7 @@
         bootstrap.update(nowMillis());
         if (bootstrap.isPartOfCluster()) {
             updateHello();
-            connections.sendHello();
+            sendHello();
         }
     }
 
