--- a/src/test/java/rockshift/server/ProcessFixture.java
+++ b/src/test/java/rockshift/server/ProcessFixture.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -107,4 +108,39 @@
     String configuration() throws IOException {
         return configuration("127.0.0.1:0", 1024, SETTINGS, entry("s-1", "Ready", 0));
     }
+
+    /** Writes an operator's file, and returns its path. */
+    String operatorFile(String name, String text) throws IOException {
+        return Files.writeString(folder.resolve(name + ".hcl"), text).toString();
+    }
+
+    /** Writes the file of a member that founds a cluster alone. */
+    String soleMemberFile() throws IOException {
+        return operatorFile(
+                "member",
+                "cluster {\n  name = \"n1\"\n  listen = \"127.0.0.1:0\"\n  folder = \""
+                        + folder.resolve("n1")
+                        + "\"\n  election = \"300ms\"\n"
+                        + "  founder \"n1\" { address = \"127.0.0.1:0\" }\n}\n");
+    }
+
+    /** Writes the file of a relay that subscribes at a member's port. */
+    String relayFile(int listen, int upstream) throws IOException {
+        return operatorFile(
+                "relay",
+                "distribution {\n  name = \"r1\"\n  upstream \"n1\" { address = \"127.0.0.1:"
+                        + upstream
+                        + "\" }\n  relay { listen = \"127.0.0.1:"
+                        + listen
+                        + "\" }\n}\n");
+    }
+
+    /** Writes the file of a controller that subscribes at a relay's port. */
+    String subscriberFile(int relay) throws IOException {
+        return operatorFile(
+                "governor",
+                "distribution {\n  name = \"g1\"\n  upstream \"r1\" { address = \"127.0.0.1:"
+                        + relay
+                        + "\" }\n  scope { zones = [\"east\"] }\n}\n");
+    }
 }
