--- a/src/main/java/rockshift/net/SupervisedReactor.java
+++ b/src/main/java/rockshift/net/SupervisedReactor.java
@@ -48,8 +48,8 @@
      */
     static final int RESERVED_DESCRIPTORS = 16;
 
-    /** Accepts between two counts of the open descriptors. */
-    private static final int MAX_UNCHECKED_ACCEPTS = 16;
+    /** Most accepts between two counts of the open descriptors, each of which reads a folder. */
+    private static final int MAX_UNCHECKED_ACCEPTS = 64;
 
     /** Descriptors that a generation takes: two selectors, and a socket for each address. */
     private static final int DESCRIPTORS_OF_A_GENERATION = 8;
