--- a/src/main/java/rockshift/net/SupervisedReactor.java
+++ b/src/main/java/rockshift/net/SupervisedReactor.java
@@ -60,9 +60,12 @@
     private static final long MIN_REOPEN_PAUSE_MS = 50;
     private static final long MAX_REOPEN_PAUSE_MS = 1_000;
 
-    /** Pause of the accepting thread between checks for a free descriptor. */
+    /** Pause of the accepting thread between questions to the policy. */
     private static final long ACCEPT_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
+    /** The same between counts of the open descriptors, which cost more. */
+    private static final long SHORTAGE_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+
     /** Shortages of descriptors that last longer are logged. */
     private static final long SHORTAGE_LOGGED_AFTER_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -232,7 +235,7 @@
                 LOG.warn("not accepting, file descriptors are short name={}", name);
             }
             execute(policy::descriptorsShort);
-            LockSupport.parkNanos(ACCEPT_PAUSE_NANOS);
+            LockSupport.parkNanos(SHORTAGE_PAUSE_NANOS);
             spare = descriptors.free() - RESERVED_DESCRIPTORS;
         }
         if (logged) {
@@ -270,20 +273,21 @@
     private boolean reopen(ReactorGeneration ended) {
         // An interrupt may be what has ended this thread's own task; only close() ends this one.
         Thread.interrupted();
-        // HttpCore does not close the first selector if the second one cannot be opened.
-        if (descriptors.free() < DESCRIPTORS_OF_A_GENERATION) {
-            LOG.warn("listener not opened yet name={} cause=\"no free descriptors\"", name);
-            execute(policy::descriptorsShort);
-            return false;
-        }
         ReactorGeneration next = null;
         try {
+            // HttpCore does not close the first selector if the second one cannot be opened.
+            if (descriptors.free() < DESCRIPTORS_OF_A_GENERATION) {
+                LOG.warn("listener not opened yet name={} cause=\"no free descriptors\"", name);
+                execute(policy::descriptorsShort);
+                return false;
+            }
             next = new ReactorGeneration(name, config, owner);
             next.start();
             for (ListenAddress address : listenAddresses()) {
                 next.listen(address);
             }
-        } catch (IOException | RuntimeException | InterruptedException failure) {
+        } catch (IOException | RuntimeException | InterruptedException | LinkageError failure) {
+            // A class that cannot be loaded without a free descriptor is a LinkageError.
             LOG.warn("listener not opened yet name={} cause=\"{}\"", name, failure.toString());
             if (next != null) {
                 next.shutDown();
