--- a/src/main/java/rockshift/cluster/ClusterClient.java
+++ b/src/main/java/rockshift/cluster/ClusterClient.java
@@ -35,7 +35,13 @@
 
     /** Refusals after which the same call may succeed at the same or another member. */
     private static final Set<String> TRANSIENT_REFUSALS =
-            Set.of("not-leader", Engine.Answer.UNKNOWN, "busy", "handing-over", "disk");
+            Set.of(
+                    "not-leader",
+                    Engine.Answer.UNKNOWN,
+                    "busy",
+                    "handing-over",
+                    "disk",
+                    "members-unsettled");
 
     /** Thrown if no member answered with the outcome before the deadline. */
     public static final class UnansweredException extends IOException {
