--- a/src/main/java/rockshift/cluster/ClusterBootstrap.java
+++ b/src/main/java/rockshift/cluster/ClusterBootstrap.java
@@ -28,8 +28,8 @@
     /** Publishes the cluster that this member is part of to the reactor's thread. */
     private volatile long clusterId;
 
-    /** Whether another cluster counts this member's name among its members under another id. */
-    private boolean superseded;
+    /** The cluster that has this member's name under another id, or none. */
+    private long supersedingCluster = FoundingPolicy.NO_CLUSTER;
 
     private boolean failureLogged;
 
@@ -53,7 +53,11 @@
                         memberId,
                         settings.founders(),
                         settings.initialCluster(),
+                        recovered.knownClusterId(),
                         nowMillis);
+        if (isOtherCluster(recovered.knownClusterId())) {
+            heardOfEarlier(recovered.knownClusterId());
+        }
     }
 
     /** Returns this member's id, drawn at random when its folder was created. */
@@ -75,13 +79,35 @@
      * not hear of an older one, which it was a member of.
      */
     boolean isSuperseded() {
-        return superseded;
+        return supersedingCluster != FoundingPolicy.NO_CLUSTER;
+    }
+
+    /** Returns the cluster that this member must be replaced in, if it is superseded. */
+    long supersedingCluster() {
+        return supersedingCluster;
+    }
+
+    /** Acts on a cluster without this member that an earlier run has recorded. */
+    private void heardOfEarlier(long cluster) {
+        if (isPartOfCluster()) {
+            setSuperseded(cluster);
+        } else {
+            LOG.warn(
+                    "waiting to be added to a cluster that an earlier run has heard of: remove"
+                            + " folder={} to found another one cluster={}",
+                    settings.folder(),
+                    Long.toHexString(cluster));
+        }
+    }
+
+    private boolean isOtherCluster(long cluster) {
+        return cluster != FoundingPolicy.NO_CLUSTER && cluster != clusterId;
     }
 
     /** Records the hello of another member; warns if it is part of another cluster. */
     void helloReceived(Hello hello) {
         policy.helloReceived(hello);
-        if (hello.cluster() == FoundingPolicy.NO_CLUSTER || hello.cluster() == clusterId) {
+        if (!isOtherCluster(hello.cluster())) {
             warnedClusters.remove(hello.name());
             return;
         }
@@ -125,16 +151,18 @@
         Member known = hello.members().byName(settings.name());
         boolean knownUnderAnotherId = known != null && known.id() != memberId;
         boolean peerKnownHere = engine.raft().membership().byName(hello.name()) != null;
-        if (superseded || !knownUnderAnotherId || peerKnownHere) {
-            return;
+        if (!isSuperseded() && knownUnderAnotherId && !peerKnownHere) {
+            setSuperseded(hello.cluster());
         }
-        superseded = true;
+    }
+
+    private void setSuperseded(long by) {
+        supersedingCluster = by;
         LOG.error(
                 "this cluster is superseded, no longer taking part: remove folder={}, restart, and"
-                        + " replace the member in cluster={} known there by peer={}",
+                        + " replace the member in cluster={}",
                 settings.folder(),
-                Long.toHexString(hello.cluster()),
-                hello.name());
+                Long.toHexString(by));
     }
 
     /** Forgets the hello of a member whose connection has ended. */
@@ -147,6 +175,9 @@
         policy.tick(nowMillis);
         FoundingPolicy.Decision decision = policy.decide();
         try {
+            if (policy.existingCluster() != FoundingPolicy.NO_CLUSTER) {
+                log.recordKnownCluster(policy.existingCluster());
+            }
             if (decision instanceof FoundingPolicy.Decision.Join join) {
                 join(join.by());
             } else if (decision instanceof FoundingPolicy.Decision.Found found) {
--- a/src/main/java/rockshift/cluster/ClusterMember.java
+++ b/src/main/java/rockshift/cluster/ClusterMember.java
@@ -70,6 +70,9 @@
     /** Whether this member is the leader, as last seen by the member's thread. */
     private volatile boolean leading;
 
+    /** Whether {@link #stopTakingPart} was called. Used only by the member's thread. */
+    private boolean takesNoPart;
+
     /** When the hello was last sent. Used only by the member's thread. */
     private long helloSentMillis;
 
@@ -224,7 +227,9 @@
             batch.clear();
         }
         if (bootstrap.isSuperseded()) {
-            stopTakingPart();
+            if (!takesNoPart) {
+                stopTakingPart();
+            }
             return;
         }
         if (!bootstrap.isPartOfCluster()) {
@@ -237,12 +242,15 @@
     /**
      * Limits the controller as without a quorum and answers the open calls. The engine is not run
      * any more, so that nothing is acknowledged, committed or applied; the member's status can
-     * still be read.
+     * still be read. The other cluster is recorded, so that this holds after a restart, too.
      */
     private void stopTakingPart() {
+        takesNoPart = true;
         leading = false;
         quorumReporter.stopped();
         engine.abandonProposals();
+        long other = bootstrap.supersedingCluster();
+        diskWriter.submit(() -> log.recordKnownCluster(other), () -> {});
     }
 
     /** Updates the distribution, the hello, the controller and the connections. */
--- a/src/main/java/rockshift/cluster/FoundingPolicy.java
+++ b/src/main/java/rockshift/cluster/FoundingPolicy.java
@@ -58,7 +58,7 @@
     private final Map<String, Hello> hellos = new TreeMap<>();
 
     /** A cluster that exists and does not contain this member's id, or {@link #NO_CLUSTER}. */
-    private long existingCluster = NO_CLUSTER;
+    private long existingCluster;
 
     private long listenedMillis;
     private long lastNowMillis;
@@ -68,17 +68,20 @@
      *
      * @param founders the addresses of the founders by name, this member included; empty if this
      *     member is no founder
+     * @param existingCluster a cluster that an earlier run heard of, or {@link #NO_CLUSTER}
      */
     FoundingPolicy(
             String name,
             long memberId,
             Map<String, String> founders,
             InitialCluster initialCluster,
+            long existingCluster,
             long nowMillis) {
         this.name = name;
         this.memberId = memberId;
         this.founders = new TreeMap<>(founders);
         mayFound = initialCluster == InitialCluster.NEW && founders.containsKey(name);
+        this.existingCluster = existingCluster;
         lastNowMillis = nowMillis;
     }
 
@@ -90,7 +93,8 @@
     /** Records the hello of another member. */
     void helloReceived(Hello hello) {
         hellos.put(hello.name(), hello);
-        if (hello.cluster() != NO_CLUSTER && hello.members().get(memberId) == null) {
+        boolean inCluster = hello.cluster() != NO_CLUSTER;
+        if (inCluster && existingCluster == NO_CLUSTER && hello.members().get(memberId) == null) {
             existingCluster = hello.cluster();
         }
     }
--- a/src/main/java/rockshift/storage/DurableLog.java
+++ b/src/main/java/rockshift/storage/DurableLog.java
@@ -27,16 +27,24 @@
     /** The format version of all files, written to the identity file and to each segment. */
     static final int FORMAT = 1;
 
-    /** The state recovered from a folder; {@code entries} are those after the snapshot. */
+    /**
+     * The state recovered from a folder.
+     *
+     * @param clusterId the cluster that the member is part of, or 0
+     * @param knownClusterId the cluster last recorded as known, or 0
+     * @param entries those after the snapshot
+     */
     public record Recovered(
             long memberId,
             long clusterId,
+            long knownClusterId,
             TermAndVote termAndVote,
             Snapshot snapshot,
             List<Entry> entries) {}
 
     private final Disk disk;
     private final IdentityFile identity;
+    private final KnownClusterFile knownCluster;
     private final SegmentFiles segments;
     private final SnapshotFiles snapshots;
     private TermAndVote durableTermAndVote = TermAndVote.NONE;
@@ -49,6 +57,7 @@
     public DurableLog(Disk disk, Consumer<String> operatorLog) {
         this.disk = disk;
         identity = new IdentityFile(disk);
+        knownCluster = new KnownClusterFile(disk);
         segments = new SegmentFiles(disk, operatorLog);
         snapshots = new SnapshotFiles(disk, operatorLog);
     }
@@ -62,6 +71,7 @@
     public Recovered open(long newMemberId) throws IOException {
         List<String> names = deleteTemporaryFiles();
         identity.open(names, newMemberId);
+        knownCluster.open(names);
         LogRecovery recovery = new LogRecovery();
         segments.recover(names, identity.memberId(), recovery);
         durableTermAndVote = recovery.termAndVote();
@@ -76,7 +86,12 @@
         }
         entries.removeIf(entry -> entry.index() <= snapshot.index());
         return new Recovered(
-                identity.memberId(), identity.clusterId(), durableTermAndVote, snapshot, entries);
+                identity.memberId(),
+                identity.clusterId(),
+                knownCluster.clusterId(),
+                durableTermAndVote,
+                snapshot,
+                entries);
     }
 
     private List<String> deleteTemporaryFiles() throws IOException {
@@ -124,10 +139,20 @@
         if (!founders.isEmpty()) {
             saveSnapshot(initial);
         }
+        if (knownCluster.clusterId() != 0) {
+            recordKnownCluster(cluster);
+        }
         identity.setCluster(cluster);
         return initial;
     }
 
+    /** Records durably that a cluster exists. If this fails, it can be retried. */
+    public void recordKnownCluster(long cluster) throws IOException {
+        if (knownCluster.clusterId() != cluster) {
+            knownCluster.setCluster(cluster);
+        }
+    }
+
     /**
      * Writes the state durably. If this fails, previously durable data is unchanged, and the same
      * save can be retried.
--- a/src/main/java/rockshift/storage/RecordKind.java
+++ b/src/main/java/rockshift/storage/RecordKind.java
@@ -16,7 +16,9 @@
      */
     IDENTITY(5),
     /** A snapshot; the only record of its file. */
-    SNAPSHOT(6);
+    SNAPSHOT(6),
+    /** A cluster that is known to exist; the only record of the file {@code known-cluster}. */
+    KNOWN_CLUSTER(7);
 
     private static final RecordKind[] KINDS = values();
 
--- a/src/main/java/rockshift/storage/package-info.java
+++ b/src/main/java/rockshift/storage/package-info.java
@@ -15,6 +15,8 @@
  *   <tr><td>{@code lock}</td><td>empty; locked while a process uses the folder</td></tr>
  *   <tr><td>{@code identity}</td><td>one record IDENTITY: format (1), member, cluster (0 until it
  *       belongs to one)</td></tr>
+ *   <tr><td>{@code known-cluster}</td><td>one record KNOWN_CLUSTER, once the member has heard of a
+ *       cluster that did not contain it</td></tr>
  *   <tr><td>{@code log-N}</td><td>a segment: header, then records; segments are numbered without
  *       gaps</td></tr>
  *   <tr><td>{@code snapshot-I}</td><td>one record SNAPSHOT, of the state after entry I</td></tr>
@@ -49,16 +51,17 @@
  *       discarded</td></tr>
  *   <tr><td>5 IDENTITY</td><td>format, member, cluster</td></tr>
  *   <tr><td>6 SNAPSHOT</td><td>index, term, members, image of sessions and state</td></tr>
+ *   <tr><td>7 KNOWN_CLUSTER</td><td>cluster</td></tr>
  * </table>
  *
  * <h2>Order of writes</h2>
  *
  * <p>A save consists of one BATCH, then TERM_AND_VOTE if it changed, SNAPSHOT_INSTALLED if the
  * leader sent a snapshot, and the entries. It is appended to the last segment and synced. A
- * snapshot is saved before the batch that refers to it. Snapshots, the identity and new segments
- * are written to a temporary file, synced and renamed. A new segment begins with TERM_AND_VOTE, as
- * older segments may be deleted: this happens once both of the two newest snapshots include all
- * their entries.
+ * snapshot is saved before the batch that refers to it. Snapshots, the identity, the known cluster
+ * and new segments are written to a temporary file, synced and renamed. A new segment begins with
+ * TERM_AND_VOTE, as older segments may be deleted: this happens once both of the two newest
+ * snapshots include all their entries.
  *
  * <h2>Torn tails and damage</h2>
  *
--- a/src/test/java/rockshift/cluster/ReplacedFounderTest.java
+++ b/src/test/java/rockshift/cluster/ReplacedFounderTest.java
@@ -125,9 +125,35 @@
             client.change(hold("s-2"), false, deadlineMillis());
             await(() -> versions.get(1) == 2 && versions.get(2) == 2);
             assertThat(versions.get(0)).as("changes of its own cluster").isEqualTo(1);
+            restartCutOff(0);
+            assertThat(statusOf(0).path("role").asText()).isEqualTo("superseded");
         }
     }
 
+    /**
+     * Guards against a founder that founds a second cluster after a restart, while the members that
+     * it had heard of its cluster from cannot reach it.
+     */
+    @Test
+    void replacedFounderFoundsNothingAfterARestartInAPartition() throws Exception {
+        try (ClusterClient client = client(0, 1, 2)) {
+            startFounderAndTwoAdded(client);
+            loseFolder(0);
+            start(0, 1);
+            restartCutOff(0);
+            TimeUnit.MILLISECONDS.sleep(WATCHED_MS);
+            assertThat(statusOf(0).path("cluster").asText()).isEqualTo("0");
+        }
+    }
+
+    /** Restarts a member that has heard of another cluster, with its folder and without peers. */
+    private void restartCutOff(int number) throws Exception {
+        await(() -> Files.exists(folder.resolve("d" + number).resolve("known-cluster")));
+        setPartitioned(number, true);
+        members[number].close();
+        start(number, 1);
+    }
+
     /**
      * Guards against a command that fails for good because it reaches a leader while another change
      * of the members, or the first entry of its term, is not committed yet.
--- a/src/test/java/rockshift/net/OpenDescriptorsTest.java
+++ b/src/test/java/rockshift/net/OpenDescriptorsTest.java
@@ -30,6 +30,7 @@
         }
     }
 
+    /** Guards against a negative count of free descriptors. */
     @Test
     void configuredLimitBelowTheOpenDescriptorsLeavesNone() {
         assertThat(new OpenDescriptors(1).free()).isZero();
--- a/src/test/java/rockshift/storage/DurableLogTest.java
+++ b/src/test/java/rockshift/storage/DurableLogTest.java
@@ -233,6 +233,27 @@
         assertThat(recovered.termAndVote()).isEqualTo(new TermAndVote(1, 1));
     }
 
+    /**
+     * Guards against a restart that forgets that there is a cluster, or the one that was joined.
+     */
+    @Test
+    void knownClusterIsRecoveredUntilAnotherOneIsJoined() throws IOException {
+        assertThat(reopen().knownClusterId()).isZero();
+        withLog(log -> log.recordKnownCluster(7));
+        assertThat(reopen().knownClusterId()).isEqualTo(7);
+        withLog(log -> log.joinCluster(8, List.of()));
+        assertThat(reopen().knownClusterId()).isEqualTo(8);
+        assertThat(reopen().clusterId()).isEqualTo(8);
+    }
+
+    /** Guards against a damaged file that counts as no known cluster. */
+    @Test
+    void damagedKnownClusterIsRejected() throws IOException {
+        withLog(log -> log.recordKnownCluster(7));
+        flipBit("known-cluster", Files.size(folder.resolve("known-cluster")) - 1);
+        assertThatThrownBy(this::reopen).isInstanceOf(CorruptRecordException.class);
+    }
+
     /** A disk whose appends fail, or report success although they wrote half of the data. */
     private static final class FailingDisk implements Disk {
         private final Disk inner;
