--- a/src/main/java/rockshift/cluster/MemberConnections.java
+++ b/src/main/java/rockshift/cluster/MemberConnections.java
@@ -12,6 +12,7 @@
 import org.apache.hc.core5.util.TimeValue;
 import rockshift.config.Section;
 import rockshift.distribution.wire.DownstreamConnections;
+import rockshift.net.AcceptPolicy;
 import rockshift.net.OpenDescriptors;
 import rockshift.net.SupervisedReactor;
 import rockshift.wire.Frames;
@@ -101,7 +102,7 @@
                                         attachment instanceof OutgoingPeer outgoingPeer
                                                 ? outgoingPeer
                                                 : null),
-                        SupervisedReactor.AcceptPolicy.WHILE_DESCRIPTORS_ARE_FREE,
+                        AcceptPolicy.WHILE_DESCRIPTORS_ARE_FREE,
                         new OpenDescriptors());
     }
 
--- a/src/main/java/rockshift/distribution/wire/DistributionReactor.java
+++ b/src/main/java/rockshift/distribution/wire/DistributionReactor.java
@@ -16,6 +16,7 @@
 import org.apache.hc.core5.util.TimeValue;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import rockshift.net.AcceptPolicy;
 import rockshift.net.OpenDescriptors;
 import rockshift.net.SupervisedReactor;
 import rockshift.wire.ConnectionLog;
@@ -71,7 +72,7 @@
                         config,
                         (session, factory) ->
                                 ((ConnectionFactory) factory).create(session, readBuffer),
-                        SupervisedReactor.AcceptPolicy.WHILE_DESCRIPTORS_ARE_FREE,
+                        AcceptPolicy.WHILE_DESCRIPTORS_ARE_FREE,
                         new OpenDescriptors());
         reactor.start();
         timer.scheduleWithFixedDelay(
--- a/src/main/java/rockshift/net/SupervisedReactor.java
+++ b/src/main/java/rockshift/net/SupervisedReactor.java
@@ -29,8 +29,8 @@
  * process has no free descriptor; connections that are open live on. Two measures answer that:
  *
  * <ul>
- *   <li>Before the next accept, the accepting thread waits until enough descriptors are free for
- *       the rest of the process. Connections wait in the backlog meanwhile.
+ *   <li>Before the next accept, the accepting thread waits at an {@link AcceptGate} until enough
+ *       descriptors are free for the rest of the process.
  *   <li>When the accepting thread has ended all the same, for whatever reason, it opens a new
  *       generation of the reactor on the same addresses, and repeats that until it succeeds.
  *       Connections of the generation before are kept.
@@ -42,15 +42,6 @@
 public final class SupervisedReactor {
     private static final Logger LOG = LoggerFactory.getLogger(SupervisedReactor.class);
 
-    /**
-     * Descriptors that stay free when connections are accepted: for calls to discovery, connections
-     * to other members and upstreams, files being written, and connections being closed.
-     */
-    static final int RESERVED_DESCRIPTORS = 16;
-
-    /** Most accepts between two counts of the open descriptors, each of which reads a folder. */
-    private static final int MAX_UNCHECKED_ACCEPTS = 64;
-
     /** Descriptors that a generation takes: two selectors, and a socket for each address. */
     private static final int DESCRIPTORS_OF_A_GENERATION = 8;
 
@@ -60,51 +51,13 @@
     private static final long MIN_REOPEN_PAUSE_MS = 50;
     private static final long MAX_REOPEN_PAUSE_MS = 1_000;
 
-    /** Pause of the accepting thread between questions to the policy. */
-    private static final long ACCEPT_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
-
-    /** The same between counts of the open descriptors, which cost more. */
-    private static final long SHORTAGE_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
-
-    /** Shortages of descriptors that last longer are logged. */
-    private static final long SHORTAGE_LOGGED_AFTER_NANOS = TimeUnit.SECONDS.toNanos(1);
-
-    /** Decides, on the accepting thread, whether it accepts the next connection now. */
-    public interface AcceptPolicy {
-        /** Accepts while descriptors are free. */
-        AcceptPolicy WHILE_DESCRIPTORS_ARE_FREE =
-                new AcceptPolicy() {
-                    @Override
-                    public boolean mayAccept(int channels) {
-                        return true;
-                    }
-
-                    @Override
-                    public void descriptorsShort() {
-                        // Connections end by their own time limits.
-                    }
-                };
-
-        /**
-         * Returns whether the next connection may be accepted.
-         *
-         * @param channels connections that are open or being opened
-         */
-        boolean mayAccept(int channels);
-
-        /**
-         * Called repeatedly while too few descriptors are free, to close connections that can be
-         * spared. Excludes all events.
-         */
-        void descriptorsShort();
-    }
-
     private final String name;
     private final IOReactorConfig config;
     private final IOEventHandlerFactory handlers;
     private final AcceptPolicy policy;
     private final OpenDescriptors descriptors;
     private final ReentrantLock events = new ReentrantLock();
+    private final AcceptGate gate;
     private final GenerationOwner owner = new GenerationOwner();
 
     /** The addresses to listen on again; guarded by this object's monitor. */
@@ -119,9 +72,6 @@
     /** Written under this object's monitor. */
     private volatile boolean closed;
 
-    /** Accepts that need no further check. Used by the present accepting thread. */
-    private volatile int uncheckedAccepts;
-
     /**
      * Opens the selectors; {@link #start} starts the threads.
      *
@@ -139,6 +89,7 @@
         this.handlers = handlers;
         this.policy = policy;
         this.descriptors = descriptors;
+        gate = new AcceptGate(name, policy, descriptors, this::execute);
         current = new ReactorGeneration(name, config, owner);
     }
 
@@ -209,41 +160,6 @@
         }
     }
 
-    /** Waits, on the accepting thread, until it may accept another connection. */
-    private void awaitNextAccept(ReactorGeneration generation, IOWorkerStats worker) {
-        while (isServing(generation) && !policy.mayAccept(channels(worker))) {
-            LockSupport.parkNanos(ACCEPT_PAUSE_NANOS);
-        }
-        int unchecked = uncheckedAccepts;
-        if (unchecked > 0) {
-            uncheckedAccepts = unchecked - 1;
-            return;
-        }
-        int spare = awaitSpareDescriptors(generation);
-        // Half of them at most: other listeners of the process accept at the same time.
-        uncheckedAccepts = Math.min(MAX_UNCHECKED_ACCEPTS, spare / 2);
-    }
-
-    /** Waits until more descriptors are free than are reserved; returns how many more. */
-    private int awaitSpareDescriptors(ReactorGeneration generation) {
-        long begunNanos = System.nanoTime();
-        boolean logged = false;
-        int spare = descriptors.free() - RESERVED_DESCRIPTORS;
-        while (isServing(generation) && spare <= 0) {
-            if (!logged && System.nanoTime() - begunNanos > SHORTAGE_LOGGED_AFTER_NANOS) {
-                logged = true;
-                LOG.warn("not accepting, file descriptors are short name={}", name);
-            }
-            execute(policy::descriptorsShort);
-            LockSupport.parkNanos(SHORTAGE_PAUSE_NANOS);
-            spare = descriptors.free() - RESERVED_DESCRIPTORS;
-        }
-        if (logged) {
-            LOG.info("accepting again name={}", name);
-        }
-        return spare;
-    }
-
     private boolean isServing(ReactorGeneration generation) {
         return !closed && generation == current && generation.isActive();
     }
@@ -307,7 +223,7 @@
             next.shutDown();
             return false;
         }
-        uncheckedAccepts = 0;
+        gate.reset();
         current = next;
         retired.add(ended);
         if (retired.size() > MAX_RETIRED) {
@@ -340,7 +256,7 @@
 
         @Override
         public void accepted(ReactorGeneration generation, IOWorkerStats worker) {
-            awaitNextAccept(generation, worker);
+            gate.awaitNextAccept(() -> isServing(generation), () -> channels(worker));
         }
 
         @Override
--- a/src/main/java/rockshift/server/ProxyListener.java
+++ b/src/main/java/rockshift/server/ProxyListener.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.util.TimeValue;
+import rockshift.net.AcceptPolicy;
 import rockshift.net.OpenDescriptors;
 import rockshift.net.SupervisedReactor;
 
@@ -73,7 +74,7 @@
      * Lets the accepting thread wait while connections are scarce, since it accepts faster than the
      * I/O thread closes.
      */
-    private final class ConnectionLimit implements SupervisedReactor.AcceptPolicy {
+    private final class ConnectionLimit implements AcceptPolicy {
         @Override
         public boolean mayAccept(int channels) {
             return channels <= connections.maxConnections() + MAX_CONNECTIONS_IN_TRANSIT;
