--- a/src/main/java/rockshift/net/ReactorGeneration.java
+++ b/src/main/java/rockshift/net/ReactorGeneration.java
@@ -8,6 +8,9 @@
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
 import org.apache.hc.core5.reactor.IOEventHandlerFactory;
@@ -28,6 +31,11 @@
 final class ReactorGeneration {
     private static final Logger LOG = LoggerFactory.getLogger(ReactorGeneration.class);
 
+    private static final String LISTENER_ENDED = "the listener has ended";
+
+    /** How often a request to listen is checked for an accepting thread that has ended. */
+    private static final long ANSWER_CHECK_INTERVAL_MS = 50;
+
     /** Reacts to what happens in a generation, on the thread to which it happens. */
     interface Owner {
         /** Creates the handler of a connection. */
@@ -96,7 +104,8 @@
         reactor.initiateShutdown();
     }
 
-    private void reportListenerEnded() {
+    /** Called by the accepting thread as the last thing it does. */
+    void reportListenerEnded() {
         listenerEnded = true;
         owner.listenerEnded(this);
     }
@@ -121,7 +130,7 @@
     InetSocketAddress listen(ListenAddress listen) throws IOException, InterruptedException {
         try {
             ListenerEndpoint endpoint =
-                    reactor.listen(listen.address(), listen.attachment(), null).get();
+                    await(reactor.listen(listen.address(), listen.attachment(), null));
             synchronized (endpoints) {
                 endpoints.add(endpoint);
             }
@@ -129,7 +138,26 @@
         } catch (ExecutionException failed) {
             throw new IOException(failed.getCause().getMessage(), failed.getCause());
         } catch (CancellationException ended) {
-            throw new IOException("the listener has ended", ended);
+            throw new IOException(LISTENER_ENDED, ended);
+        }
+    }
+
+    /**
+     * Waits until the accepting thread has answered. HttpCore never completes a request that it
+     * gets while that thread ends.
+     */
+    private ListenerEndpoint await(Future<ListenerEndpoint> request)
+            throws IOException, InterruptedException, ExecutionException {
+        while (true) {
+            // Read first: the thread may answer as the last thing it does.
+            boolean ended = listenerEnded;
+            try {
+                return request.get(ANSWER_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+            } catch (TimeoutException unanswered) {
+                if (ended) {
+                    throw new IOException(LISTENER_ENDED, unanswered);
+                }
+            }
         }
     }
 
