--- a/review/standin-2/Kit.java
+++ b/review/standin-2/Kit.java
@@ -26,8 +26,8 @@
 import java.util.stream.Stream;
 
 /**
- * Stand-ins for the cases 6 to 10: governors as separate processes, discovery, sidecars and a record. A case is a class with a
- * main method that uses them, and that ends through {@link #finish}.
+ * Stand-ins for the cases 6 to 10: governors as separate processes, discovery, messages and the record. A case is a class whose
+ * main method calls {@link #main}.
  */
 final class Kit {
     static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
--- a/review/standin-2/World.java
+++ b/review/standin-2/World.java
@@ -73,14 +73,19 @@
         thread.start();
     }
 
+    /** Transactions a second of a sidecar: its own share, unless all have one rate. */
+    private double rateOf(Sidecar sidecar) {
+        return ratePerSidecar > 0 ? ratePerSidecar : sidecar.share;
+    }
+
     private void sendTransactions() {
         TreeMap<Integer, Double> dueAt = new TreeMap<>();
-        sidecars.forEach(each -> dueAt.put(each.number, Kit.now() + random.nextDouble() * 1000 / ratePerSidecar));
+        sidecars.forEach(each -> dueAt.put(each.number, Kit.now() + random.nextDouble() * 1000 / rateOf(each)));
         while (!closed) {
             for (Sidecar each : sidecars) {
                 if (dueAt.get(each.number) <= Kit.now()) {
                     // Evenly spread with some jitter.
-                    dueAt.merge(each.number, (0.5 + random.nextDouble()) * 1000 / ratePerSidecar, Double::sum);
+                    dueAt.merge(each.number, (0.5 + random.nextDouble()) * 1000 / rateOf(each), Double::sum);
                     if (each.isAlive()) {
                         send(each);
                     }
