--- a/src/main/java/rockshift/cli/ClusterChangesSource.java
+++ b/src/main/java/rockshift/cli/ClusterChangesSource.java
@@ -46,6 +46,11 @@
         AgreedStateAdapter.apply(receiver, version, drains, overrides, () -> {});
     }
 
+    @Override
+    public void setAgreedStateKnown(boolean known) {
+        receiver.setAgreedStateKnown(known);
+    }
+
     @Override
     public void setPermittedChanges(LocalController.PermittedChanges permitted) {
         receiver.setControlScope(
--- a/src/main/java/rockshift/cli/DistributionChangesSource.java
+++ b/src/main/java/rockshift/cli/DistributionChangesSource.java
@@ -1,15 +1,13 @@
 package rockshift.cli;
 
 import java.io.IOException;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import rockshift.cluster.AgreedItems;
 import rockshift.cluster.Change;
+import rockshift.cluster.ReceivedAgreedState;
 import rockshift.distribution.Item;
 import rockshift.distribution.RejectionReason;
 import rockshift.distribution.Revision;
@@ -33,7 +31,7 @@
     private AgreedChangesReceiver receiver;
     private DistributionReactor reactor;
     private DistributionClient client;
-    private final Map<String, Change> changesByKey = new HashMap<>();
+    private final ReceivedAgreedState state = new ReceivedAgreedState();
     private Revision revision = Revision.NONE;
 
     DistributionChangesSource(DistributionSettings settings) {
@@ -43,6 +41,7 @@
     @Override
     public void start(AgreedChangesReceiver into) throws IOException, InterruptedException {
         receiver = into;
+        receiver.setAgreedStateKnown(false);
         reactor = new DistributionReactor();
         client =
                 new DistributionClient(
@@ -68,44 +67,21 @@
 
     @Override
     public void snapshot(Revision at, List<Item> items, Runnable inForce) {
-        changesByKey.clear();
-        items.forEach(this::put);
+        state.replace(items);
         apply(at, inForce);
+        receiver.setAgreedStateKnown(true);
     }
 
     @Override
     public void difference(Revision at, List<Update> updates, Runnable inForce) {
-        for (Update update : updates) {
-            if (update.deleted()) {
-                changesByKey.remove(update.item().key());
-            } else {
-                put(update.item());
-            }
-        }
+        state.apply(updates);
         apply(at, inForce);
     }
 
-    private void put(Item item) {
-        try {
-            changesByKey.put(item.key(), AgreedItems.change(item));
-        } catch (IOException unreadable) {
-            // Written by a later version: ignores this item, and uses all others.
-            LOG.warn("item ignored key={} reason=\"{}\"", item.key(), unreadable.getMessage());
-            changesByKey.remove(item.key());
-        }
-    }
-
     private void apply(Revision at, Runnable inForce) {
         revision = at;
-        Map<String, Change> drained = new TreeMap<>();
-        Map<String, Double> overrides = new TreeMap<>();
-        for (Change change : changesByKey.values()) {
-            if (change.isScoped()) {
-                drained.put(change.subject(), change);
-            } else if (change.kind() == Change.Kind.TERM) {
-                overrides.put(change.subject(), change.value());
-            }
-        }
+        Map<String, Change> drained = state.drains();
+        Map<String, Double> overrides = state.overrides();
         AgreedStateAdapter.apply(receiver, at.number(), drained, overrides, inForce);
         LOG.info(
                 "agreed state in force revision={} drainedReplicas={} settings={}",
--- a/src/main/java/rockshift/cluster/ClusterMember.java
+++ b/src/main/java/rockshift/cluster/ClusterMember.java
@@ -61,6 +61,7 @@
     private final MemberHello hello;
     private final QuorumContactReporter quorumReporter;
     private final AppliedChanges appliedChanges;
+    private final AgreedStateKnowledge knowledge;
     private final CommandService commands;
     private final Thread thread = new Thread(this::run, "agreement");
 
@@ -86,6 +87,7 @@
     public ClusterMember(ClusterSettings settings, LocalController controller) throws IOException {
         this.settings = settings;
         disk = new FileDisk(settings.folder());
+        AgreedStateSnapshot recoveredState;
         try {
             SecureRandom random = new SecureRandom();
             log = new DurableLog(disk, line -> LOG.warn("{}", line));
@@ -100,6 +102,7 @@
                             new FrameHandler(),
                             distribution.downstream(),
                             new SplittableRandom(random.nextLong()));
+            recoveredState = RecoveredAgreedState.of(recovered);
             engine = newEngine(recovered, new SplittableRandom(random.nextLong()));
             bootstrap = new ClusterBootstrap(settings, recovered, log, engine, nowMillis());
         } catch (IOException | RuntimeException failure) {
@@ -111,6 +114,9 @@
         hello = new MemberHello(bootstrap.memberId(), settings.name());
         quorumReporter = new QuorumContactReporter(settings, controller, directory);
         appliedChanges = new AppliedChanges(agreed, controller, distribution);
+        knowledge =
+                new AgreedStateKnowledge(
+                        settings, recoveredState, controller, appliedChanges, inputs::offer);
         commands = newCommandService(controller);
         updateHello();
     }
@@ -147,7 +153,7 @@
     public void start() throws IOException, InterruptedException {
         port = connections.listen(settings.listen());
         thread.setDaemon(true);
-        appliedChanges.passToController();
+        knowledge.start();
         distribution.start();
         diskWriter.start();
         thread.start();
@@ -178,6 +184,7 @@
         diskWriter.stop();
         thread.join(STOP_TIMEOUT_MS);
         diskWriter.awaitStop(STOP_TIMEOUT_MS);
+        knowledge.close();
         distribution.close();
         connections.close();
         try {
@@ -248,6 +255,7 @@
         takesNoPart = true;
         leading = false;
         quorumReporter.stopped();
+        knowledge.superseded();
         engine.abandonProposals();
         long other = bootstrap.supersedingCluster();
         diskWriter.submit(() -> log.recordKnownCluster(other), () -> {});
@@ -263,6 +271,7 @@
         } else if (nowMillis() - helloSentMillis >= HELLO_INTERVAL_MS) {
             sendHello();
         }
+        knowledge.update(bootstrap.isPartOfCluster(), distribution.hasBeenFresh());
         quorumReporter.update(engine.raft());
         connections.update(directory.otherAddresses(bootstrap.isPartOfCluster()), nowMillis());
     }
@@ -290,6 +299,8 @@
         bootstrap.helloReceived(other);
         if (other.members().get(bootstrap.memberId()) != null) {
             directory.membershipReceived(other.members());
+        } else if (other.cluster() != 0 && !bootstrap.isPartOfCluster()) {
+            knowledge.clusterHeard(directory.addressesOf(other.members()));
         }
     }
 
--- a/src/main/java/rockshift/cluster/DistributionService.java
+++ b/src/main/java/rockshift/cluster/DistributionService.java
@@ -143,6 +143,14 @@
         freshAtMillis = freshness.freshAt(raft, now());
     }
 
+    /**
+     * Returns whether all that was committed at some time since the start is applied here. Called
+     * by the member's thread.
+     */
+    boolean hasBeenFresh() {
+        return freshAtMillis != Long.MIN_VALUE;
+    }
+
     /** Queues the whole agreed state, which may have been replaced. */
     void restored(long cluster, AgreedState agreed) {
         if (cluster == 0) {
--- a/src/main/java/rockshift/cluster/LocalController.java
+++ b/src/main/java/rockshift/cluster/LocalController.java
@@ -25,6 +25,12 @@
     /** Applies the whole agreed state; called after each change. */
     void applyAgreed(long version, Map<String, Change> drains, Map<String, Double> overrides);
 
+    /**
+     * Sets whether the agreed state that was applied last is up to date, or was since the start.
+     * The controller does not assume so before the first call.
+     */
+    void setAgreedStateKnown(boolean known);
+
     /** Sets what the controller may change. */
     void setPermittedChanges(PermittedChanges permitted);
 
--- a/src/main/java/rockshift/cluster/MemberDirectory.java
+++ b/src/main/java/rockshift/cluster/MemberDirectory.java
@@ -1,6 +1,7 @@
 package rockshift.cluster;
 
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import rockshift.raft.Member;
@@ -65,6 +66,17 @@
         return addresses;
     }
 
+    /** Returns the addresses of the members of a cluster other than this one, by its name. */
+    Set<String> addressesOf(Membership members) {
+        Set<String> addresses = new LinkedHashSet<>();
+        for (Member member : members.all()) {
+            if (!member.name().equals(settings.name())) {
+                addresses.add(route(member.name(), member.address()));
+            }
+        }
+        return addresses;
+    }
+
     private Membership knownMembership() {
         Membership agreed = raft.membership();
         return agreed.all().isEmpty() && receivedMembership != null ? receivedMembership : agreed;
--- a/src/main/java/rockshift/planner/DrainNotifier.java
+++ b/src/main/java/rockshift/planner/DrainNotifier.java
@@ -12,11 +12,12 @@
  * in ticks.
  *
  * <p>Guards against requests to drained replicas from proxies that still have the tables they
- * joined with, if the channel is too slow to bind them within the grace. The symptom is attempts at
- * replicas that are listed as draining. The guard holds because a notice is only sent if it is
- * shorter than the tables, while the queue and the proxy's quota have room for it. Notices are
- * withdrawn only when no proxy waits, so that no slow-starting replica is used with old weights;
- * until then a replica misses some of its traffic. Withdrawals check neither queue nor quota.
+ * joined with, if the channel is too slow to bind them within the grace, or if they keep these
+ * tables because it is not known what operators agreed on. The symptom is attempts at replicas that
+ * are listed as draining. The guard holds because a notice is only sent if it is shorter than the
+ * tables, while the queue and the proxy's quota have room for it. Notices are withdrawn only when
+ * no proxy waits, so that no slow-starting replica is used with old weights; until then a replica
+ * misses some of its traffic. Withdrawals check neither queue nor quota.
  */
 final class DrainNotifier {
     private final double longestTransitTicks;
@@ -41,9 +42,11 @@
     /**
      * Sends or withdraws notices, if any are due.
      *
+     * @param agreedStateKnown whether waiting proxies will be bound as soon as there is room
      * @return whether it did
      */
-    boolean sendOrWithdrawNotices(ProxyCommands commands, ControlScope scope, long now) {
+    boolean sendOrWithdrawNotices(
+            ProxyCommands commands, ControlScope scope, boolean agreedStateKnown, long now) {
         if (proxies.waiting().isEmpty()) {
             return scope == ControlScope.FULL && withdrawNextNotice(commands, now);
         }
@@ -52,7 +55,7 @@
             return false;
         }
         noticesCheckedAtTicks = now;
-        return sendNotices(commands, now);
+        return sendNotices(commands, agreedStateKnown, now);
     }
 
     /**
@@ -79,7 +82,7 @@
      *
      * @return whether any were sent
      */
-    private boolean sendNotices(ProxyCommands commands, long now) {
+    private boolean sendNotices(ProxyCommands commands, boolean agreedStateKnown, long now) {
         List<Replica> departed =
                 replicas.all().stream().filter(replica -> !replica.acceptsNewWork()).toList();
         double overhead = pacer.messageOverheadEntries();
@@ -90,7 +93,7 @@
             entriesAhead += cost + overhead + 1;
             if (isTooLate(proxy, entriesAhead, now)
                     && proxy.drainNoticesSentAtTicks() < replicas.lastDepartureTicks()
-                    && departed.size() < cost
+                    && (departed.size() < cost || !agreedStateKnown)
                     && pacer.advanceQueue(now) + departed.size() + overhead + 1
                             <= pacer.priorityQueueLimit()
                     && !pacer.isQuotaSpent(proxy, 1)) {
--- a/src/main/java/rockshift/planner/Planner.java
+++ b/src/main/java/rockshift/planner/Planner.java
@@ -50,11 +50,13 @@
     private final TablePublisher publisher;
     private final TableScheduler tableScheduler;
     private final DrainNotifier drainNotifier;
+    private final KeptTablePolicy keptTablePolicy;
 
     private PlannerSettings settings;
     private ActiveRoutes activeRoutes = ActiveRoutes.NONE;
     private ControlScope scope = ControlScope.FULL;
     private long agreedVersion;
+    private boolean agreedStateKnown = true;
     private long now;
     private long lastRoundTicks;
     private boolean timerSet;
@@ -105,7 +107,8 @@
                         new TableDifferences(admission),
                         pacer,
                         proxies);
-        tableScheduler = new TableScheduler(settings, pacer, proxies);
+        keptTablePolicy = new KeptTablePolicy(settings, replicas, eligibility);
+        tableScheduler = new TableScheduler(settings, pacer, proxies, keptTablePolicy);
         drainNotifier = new DrainNotifier(settings, pacer, replicas, proxies);
         schedule.add(ScheduledTask.regularRound(now));
     }
@@ -122,7 +125,7 @@
 
     /**
      * Applies drains and settings that operators agreed on. Ignores a version that is not newer
-     * than the last one.
+     * than the last one; while the agreed state is not known, an equal version replaces the last.
      *
      * @param drains by replica, the latest start time, in ticks, of a process that its drain
      *     applies to
@@ -130,7 +133,7 @@
     public void applyAgreedChanges(
             long now, long version, Map<Long, Long> drains, SettingOverrides overrides) {
         this.now = now;
-        if (version > agreedVersion) {
+        if (version > agreedVersion || !agreedStateKnown && version == agreedVersion) {
             agreedVersion = version;
             operatorDrains.replace(drains);
             settings = configuredSettings.withOverrides(overrides);
@@ -138,6 +141,26 @@
         }
     }
 
+    /**
+     * Sets whether the last agreed changes that were applied are up to date. Until they are, no
+     * change is made that safety does not require, and joined proxies keep their tables, unless
+     * {@link KeptTablePolicy} finds that they may have no replica to use. A planner whose host
+     * never calls this has no agreed changes to wait for.
+     */
+    public void setAgreedStateKnown(long now, boolean known) {
+        this.now = now;
+        if (known != agreedStateKnown) {
+            roundRequested = true;
+            log.add("agreedState known=" + known);
+        }
+        agreedStateKnown = known;
+    }
+
+    /** Returns the scope in force: without knowledge of the agreed state, at most removals. */
+    private ControlScope effectiveScope() {
+        return !agreedStateKnown && scope == ControlScope.FULL ? ControlScope.REMOVALS_ONLY : scope;
+    }
+
     /** Sets the scope when the host loses or regains contact with most other controllers. */
     public void setControlScope(long now, ControlScope newScope) {
         this.now = now;
@@ -150,10 +173,12 @@
      * Adds a proxy whose stream came up. Until it is bound, it uses the tables that it had.
      *
      * @param baselineRate usual rate of the proxy, in transactions per second
+     * @param orderedTables whether its tables were written by a controller, not those of its start
      */
-    public void proxyJoined(long now, int number, String zone, double baselineRate) {
+    public void proxyJoined(
+            long now, int number, String zone, double baselineRate, boolean orderedTables) {
         this.now = now;
-        proxies.join(now, number, zone, baselineRate);
+        proxies.join(now, number, zone, baselineRate, orderedTables);
         hasUnassignedProxies = true;
     }
 
@@ -188,14 +213,21 @@
         }
     }
 
-    /** Records the arrivals of a class that a proxy reported for a span. */
-    public void recordUsage(long now, int number, String className, int arrivals, long spanTicks) {
+    /**
+     * Records the requests of a class that a proxy reported for a span.
+     *
+     * @param arrivals requests that reached the proxy
+     * @param failures requests that it could not serve
+     */
+    public void recordUsage(
+            long now, int number, String className, int arrivals, int failures, long spanTicks) {
         this.now = now;
         Proxy proxy = proxies.get(number);
         int classNumber = classNames.number(className);
         if (proxy != null && spanTicks > 0 && classNumber >= 0 && classNumber < classCount) {
             traffic.addArrivals(classNumber, arrivals);
             proxy.demands().get(classNumber).addReport(arrivals, spanTicks, now);
+            proxy.recordServed(classNumber, arrivals, failures);
         }
     }
 
@@ -234,17 +266,22 @@
             runPlanningRound(commands);
         } else if (schedule.isNextDue(ScheduledTask.Kind.END_OF_EJECTION, now)) {
             endNextEjection();
-        } else if (!drainNotifier.sendOrWithdrawNotices(commands, scope, now)
-                && !tableScheduler.bindNextWaiting(commands, scope, now)
-                && !tableScheduler.upgradeNextProvisional(commands, scope, now)) {
+        } else if (!sendToProxies(commands, effectiveScope())) {
             return pacer.closeTurn(commands, now);
         }
         return true;
     }
 
+    private boolean sendToProxies(ProxyCommands commands, ControlScope effective) {
+        return drainNotifier.sendOrWithdrawNotices(commands, effective, agreedStateKnown, now)
+                || tableScheduler.bindNextWaiting(commands, effective, agreedStateKnown, now)
+                || tableScheduler.upgradeNextProvisional(commands, effective, now);
+    }
+
     private void assignWaitingProxies() {
         for (Proxy proxy : proxies.waiting()) {
             roundRequested |= subsetter.assignToGroup(proxy);
+            keptTablePolicy.recordTables(proxy);
         }
         hasUnassignedProxies = false;
     }
@@ -266,6 +303,7 @@
         boolean regular = schedule.takeDueRegularRound(now);
         operatorDrains.applyOperatorDrains(replicas, now);
         roundRequested = subsetter.assignSubsets(replicas, proxies);
+        proxies.waiting().forEach(keptTablePolicy::recordTables);
         decayEvidence();
         detectOutliers();
         updateDemand();
@@ -328,7 +366,7 @@
                         subsetter.groups(),
                         activeRoutes.tables(),
                         round,
-                        scope,
+                        effectiveScope(),
                         regular,
                         settings.commandPrice());
         for (ProxyGroup group : subsetter.groups()) {
--- a/src/main/java/rockshift/planner/Proxy.java
+++ b/src/main/java/rockshift/planner/Proxy.java
@@ -1,6 +1,7 @@
 package rockshift.planner;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 
 /** Proxy whose stream is up, with its group, tables, demand and sent messages. */
@@ -17,17 +18,23 @@
     private final int zoneIndex;
     private final long joinedAtTicks;
     private final double baselineRatePerSecond;
+    private final boolean orderedTables;
     private final List<ClassDemand> demands = new ArrayList<>();
     private final ProxySendState sendState = new ProxySendState();
     private long drainNoticesSentAtTicks = NEVER;
     private ProxyGroup group;
     private boolean bound;
     private boolean provisional;
+    private KeptTables keptTables;
+
+    /** By class number, whether its last report of requests says that none was served. */
+    private final BitSet unservedClasses = new BitSet();
 
     /**
      * Creates a proxy without a group.
      *
      * @param baselineRatePerSecond usual rate in transactions per second, all classes together
+     * @param orderedTables whether it holds tables that a controller wrote
      * @param reportedUntilTicks time until which its arrivals count as known
      */
     Proxy(
@@ -35,11 +42,13 @@
             int zoneIndex,
             int classCount,
             double baselineRatePerSecond,
+            boolean orderedTables,
             long joinedAtTicks,
             long reportedUntilTicks) {
         this.number = number;
         this.zoneIndex = zoneIndex;
         this.joinedAtTicks = joinedAtTicks;
+        this.orderedTables = orderedTables;
         for (int k = 0; k < classCount; k++) {
             demands.add(new ClassDemand(baselineRatePerSecond / classCount, reportedUntilTicks));
         }
@@ -62,6 +71,32 @@
         return baselineRatePerSecond;
     }
 
+    /** Whether it joined with tables that a controller wrote, rather than those of its start. */
+    boolean hasOrderedTables() {
+        return orderedTables;
+    }
+
+    /** What the tables that it joined with may contain; null until it has a group. */
+    KeptTables keptTables() {
+        return keptTables;
+    }
+
+    void setKeptTables(KeptTables tables) {
+        keptTables = tables;
+    }
+
+    /** Records how many requests of a class it received, and how many of them it did not serve. */
+    void recordServed(int classNumber, int arrivals, int failures) {
+        if (arrivals > 0) {
+            unservedClasses.set(classNumber, failures >= arrivals);
+        }
+    }
+
+    /** Whether it served no request of some class, by its last report about that class. */
+    boolean servedNothing() {
+        return !unservedClasses.isEmpty();
+    }
+
     /** By class. */
     List<ClassDemand> demands() {
         return demands;
--- a/src/main/java/rockshift/planner/ProxyRegistry.java
+++ b/src/main/java/rockshift/planner/ProxyRegistry.java
@@ -38,7 +38,12 @@
     }
 
     /** Adds a proxy whose stream came up; this replaces an older stream of the same proxy. */
-    void join(long now, int number, String zone, double baselineRatePerSecond) {
+    void join(
+            long now,
+            int number,
+            String zone,
+            double baselineRatePerSecond,
+            boolean orderedTables) {
         leave(number);
         Proxy proxy =
                 new Proxy(
@@ -46,6 +51,7 @@
                         Math.max(0, zones.indexOf(zone)),
                         classCount,
                         baselineRatePerSecond,
+                        orderedTables,
                         now,
                         now + reportPeriodTicks);
         proxies.put(number, proxy);
--- a/src/main/java/rockshift/planner/RouteEligibility.java
+++ b/src/main/java/rockshift/planner/RouteEligibility.java
@@ -21,10 +21,18 @@
      * zone.
      */
     boolean isAllowed(Route route) {
-        RoutingTable table = route.table();
-        return route.replica().acceptsNewWork()
-                && (route.isOwnZone() || !classes.get(table.classNumber()).restrictedToOwnZone())
-                && table.group().contains(route.replica());
+        return maySend(route.table(), route.replica())
+                && route.table().group().contains(route.replica());
+    }
+
+    /**
+     * Returns whether proxies may send new requests of a table's class to a replica, in the subset
+     * of the table's group or not.
+     */
+    boolean maySend(RoutingTable table, Replica replica) {
+        return replica.acceptsNewWork()
+                && (table.group().isInZoneOf(replica)
+                        || !classes.get(table.classNumber()).restrictedToOwnZone());
     }
 
     /**
--- a/src/main/java/rockshift/planner/TableScheduler.java
+++ b/src/main/java/rockshift/planner/TableScheduler.java
@@ -30,13 +30,19 @@
     private final boolean provisionalIsSafe;
     private final ChannelPacer pacer;
     private final ProxyRegistry proxies;
+    private final KeptTablePolicy keptTablePolicy;
 
-    TableScheduler(PlannerSettings settings, ChannelPacer pacer, ProxyRegistry proxies) {
+    TableScheduler(
+            PlannerSettings settings,
+            ChannelPacer pacer,
+            ProxyRegistry proxies,
+            KeptTablePolicy keptTablePolicy) {
         bindingDeadlineTicks = bindingDeadlineTicks(settings);
         // A provisional table sets the retry mode of one class only; the others use the default.
         provisionalIsSafe = settings.defaultRetryMode() <= TablePublisher.RETRY_MODE;
         this.pacer = pacer;
         this.proxies = proxies;
+        this.keptTablePolicy = keptTablePolicy;
     }
 
     /**
@@ -51,13 +57,19 @@
      * Binds the first waiting proxy that can be bound, in the order of joining, if the channel has
      * room for it.
      *
+     * @param agreedStateKnown whether the tables follow what operators agreed on; if not, only
+     *     proxies are bound that may have no replica to use
      * @return whether a proxy was bound
      */
-    boolean bindNextWaiting(ProxyCommands commands, ControlScope scope, long now) {
+    boolean bindNextWaiting(
+            ProxyCommands commands, ControlScope scope, boolean agreedStateKnown, long now) {
         for (Proxy proxy : proxies.waiting()) {
             boolean provisional = needsProvisionalTable(proxy, now);
             double cost = provisional ? proxy.provisionalBindingCost() : proxy.bindingCost();
-            if (scope == ControlScope.NONE || !proxy.isBindable() || pacer.isQuotaSpent(proxy, 1)) {
+            if (scope == ControlScope.NONE
+                    || !proxy.isBindable()
+                    || pacer.isQuotaSpent(proxy, 1)
+                    || !agreedStateKnown && !keptTablePolicy.mustBind(proxy, now)) {
                 continue;
             } else if (!hasRoom(proxy, cost, now)) {
                 return false;
--- a/src/main/java/rockshift/server/AgreedChangesReceiver.java
+++ b/src/main/java/rockshift/server/AgreedChangesReceiver.java
@@ -68,6 +68,14 @@
         loop.submit(new PlannerEvent.AgreedChanges(version, drainsById, overrides, onApplied));
     }
 
+    /**
+     * Sets whether the changes that were applied are up to date. Must be called with false before
+     * the controller serves, if agreed changes are to come.
+     */
+    public void setAgreedStateKnown(boolean known) {
+        loop.submit(new PlannerEvent.AgreedStateKnown(known));
+    }
+
     /** Sets the extent to which the planner may change tables. */
     public void setControlScope(ControlScope scope) {
         loop.submit(new PlannerEvent.ControlScopeChanged(scope));
--- a/src/main/java/rockshift/server/PlannerEvent.java
+++ b/src/main/java/rockshift/server/PlannerEvent.java
@@ -19,7 +19,11 @@
         public void apply(long nowTicks, Planner planner, PublishedTables tables) {
             tables.proxyJoined(join.proxyNumber(), channel);
             planner.proxyJoined(
-                    nowTicks, join.proxyNumber(), join.zone(), join.requestsPerSecond());
+                    nowTicks,
+                    join.proxyNumber(),
+                    join.zone(),
+                    join.requestsPerSecond(),
+                    join.orderedTables());
         }
     }
 
@@ -77,6 +81,7 @@
                     report.proxyNumber(),
                     report.className(),
                     report.arrivals(),
+                    report.failures(),
                     report.windowTicks());
         }
     }
@@ -107,6 +112,15 @@
         }
     }
 
+    /** It has changed whether the agreed changes received so far are up to date. */
+    record AgreedStateKnown(boolean known) implements PlannerEvent {
+        @Override
+        public void apply(long nowTicks, Planner planner, PublishedTables tables) {
+            tables.agreedChangesReceived();
+            planner.setAgreedStateKnown(nowTicks, known);
+        }
+    }
+
     /** The extent to which the planner may change tables has changed. */
     record ControlScopeChanged(ControlScope scope) implements PlannerEvent {
         @Override
--- a/src/main/java/rockshift/server/RespCodec.java
+++ b/src/main/java/rockshift/server/RespCodec.java
@@ -47,6 +47,7 @@
     static final String PROXY = "sidecar";
     static final String ZONE = "az";
     static final String REQUEST_RATE = "share";
+    static final String STANDING = "standing";
     static final String REPLICA = "host";
     static final String COUNT = "n";
     static final String FAILED = "bad";
@@ -68,6 +69,8 @@
     static final String ACKNOWLEDGE = "ticket";
     static final String MORE_PARTS = "more";
 
+    private static final String NO = "0";
+
     private byte[] buffer = new byte[INITIAL_BUFFER_BYTES];
     private int end;
 
@@ -289,6 +292,11 @@
         return value;
     }
 
+    /** Returns whether a field is present and says no. */
+    boolean isNo(String name) {
+        return NO.equals(find(name));
+    }
+
     /** Returns a field's value as a number between 0 and {@link #MAX_NUMBER}. */
     double number(String name) throws InvalidMessageException {
         return parseNumber(name, text(name));
--- a/src/main/java/rockshift/settings/PlannerSettings.java
+++ b/src/main/java/rockshift/settings/PlannerSettings.java
@@ -30,6 +30,7 @@
  * @param admissionMode how proxies interpret admission levels
  * @param idleCloseTicks time after which a proxy closes an idle connection
  * @param drainGraceTicks time that proxies have to stop using a draining replica
+ * @param noReplicaLimitTicks maximum time for which a proxy may have no replica to use
  * @param initialSlowStartFraction minimum fraction of its capacity that a replica has when it
  *     starts
  * @param slowStartTicks time after its start at which a replica has its full capacity
@@ -61,6 +62,7 @@
         AdmissionMode admissionMode,
         double idleCloseTicks,
         double drainGraceTicks,
+        double noReplicaLimitTicks,
         double initialSlowStartFraction,
         double slowStartTicks,
         double slowStartOverloadMultiple,
@@ -94,6 +96,7 @@
         requireNotNegative("defaultRetryMode", defaultRetryMode);
         requireNotNegative("idleCloseTicks", idleCloseTicks);
         requireNotNegative("drainGraceTicks", drainGraceTicks);
+        requireNotNegative("noReplicaLimitTicks", noReplicaLimitTicks);
         requireNotNegative("initialSlowStartFraction", initialSlowStartFraction);
         requireNotNegative("slowStartTicks", slowStartTicks);
         requireNotNegative("slowStartOverloadMultiple", slowStartOverloadMultiple);
@@ -141,6 +144,7 @@
                 .admissionMode(admissionMode)
                 .idleCloseTicks(idleCloseTicks)
                 .drainGraceTicks(drainGraceTicks)
+                .noReplicaLimitTicks(noReplicaLimitTicks)
                 .initialSlowStartFraction(initialSlowStartFraction)
                 .slowStartTicks(slowStartTicks)
                 .slowStartOverloadMultiple(slowStartOverloadMultiple)
@@ -171,6 +175,7 @@
         private AdmissionMode admissionMode = AdmissionMode.NONE;
         private double idleCloseTicks = Double.MAX_VALUE;
         private double drainGraceTicks = Double.POSITIVE_INFINITY;
+        private double noReplicaLimitTicks = Double.POSITIVE_INFINITY;
         private double initialSlowStartFraction = 0.1;
         private double slowStartTicks = 300_000;
         private double slowStartOverloadMultiple = 1;
@@ -277,6 +282,12 @@
             return this;
         }
 
+        /** Sets {@link PlannerSettings#noReplicaLimitTicks}; by default infinite. */
+        public Builder noReplicaLimitTicks(double value) {
+            noReplicaLimitTicks = value;
+            return this;
+        }
+
         /** Sets {@link PlannerSettings#drainGraceTicks}; by default infinite. */
         public Builder drainGraceTicks(double value) {
             drainGraceTicks = value;
@@ -357,6 +368,7 @@
                     admissionMode,
                     idleCloseTicks,
                     drainGraceTicks,
+                    noReplicaLimitTicks,
                     initialSlowStartFraction,
                     slowStartTicks,
                     slowStartOverloadMultiple,
--- a/src/main/java/rockshift/settings/SettingsParser.java
+++ b/src/main/java/rockshift/settings/SettingsParser.java
@@ -58,6 +58,7 @@
                             (builder, value) -> builder.admissionMode(admissionMode(value.text()))),
                     ticks("ceilings.idle_close_us", PlannerSettings.Builder::idleCloseTicks),
                     ticks("invariants.drain_grace_us", PlannerSettings.Builder::drainGraceTicks),
+                    ticks("domain.blackhole_us", PlannerSettings.Builder::noReplicaLimitTicks),
                     number(
                             "invariants.start_capacity",
                             PlannerSettings.Builder::initialSlowStartFraction),
--- a/src/main/java/rockshift/simulation/SimulatedController.java
+++ b/src/main/java/rockshift/simulation/SimulatedController.java
@@ -42,7 +42,11 @@
             reply.subscribeToDiscovery(controllerId);
         } else if (event instanceof ProxyJoined joined) {
             planner.proxyJoined(
-                    nowTicks, joined.proxyId(), joined.zone(), joined.baselineRequestsPerSecond());
+                    nowTicks,
+                    joined.proxyId(),
+                    joined.zone(),
+                    joined.baselineRequestsPerSecond(),
+                    joined.orderedTables());
         } else if (event instanceof ProxyLeft left) {
             planner.proxyLeft(nowTicks, left.proxyId());
             notifiedProxies.values().forEach(proxies -> proxies.remove(left.proxyId()));
@@ -54,6 +58,7 @@
                     usage.proxyId(),
                     usage.className(),
                     usage.requests(),
+                    usage.failures(),
                     usage.periodTicks());
         } else if (event instanceof MessagesAcknowledged acknowledged) {
             planner.proxyAcknowledged(nowTicks, acknowledged.proxyId(), acknowledged.serial());
--- a/src/main/java/rockshift/simulation/SimulatorEvent.java
+++ b/src/main/java/rockshift/simulation/SimulatorEvent.java
@@ -28,8 +28,10 @@
      * A proxy connected.
      *
      * @param baselineRequestsPerSecond request rate that the proxy usually receives
+     * @param orderedTables whether it holds tables that a controller wrote
      */
-    record ProxyJoined(int proxyId, String zone, double baselineRequestsPerSecond)
+    record ProxyJoined(
+            int proxyId, String zone, double baselineRequestsPerSecond, boolean orderedTables)
             implements SimulatorEvent {}
 
     /** A proxy's connection broke. */
@@ -53,7 +55,8 @@
             implements SimulatorEvent {}
 
     /** Requests of a class that arrived at a proxy in a period, including client retries. */
-    record UsageReported(int proxyId, String className, int requests, long periodTicks)
+    record UsageReported(
+            int proxyId, String className, int requests, int failures, long periodTicks)
             implements SimulatorEvent {}
 
     /** A proxy applied all messages up to the one with this serial number. */
--- a/src/main/java/rockshift/simulation/SimulatorEventReader.java
+++ b/src/main/java/rockshift/simulation/SimulatorEventReader.java
@@ -147,10 +147,11 @@
     }
 
     private static SimulatorEvent proxyJoined(SimulatorLine line) {
-        line.flag("whether the proxy has standing tables only");
+        boolean standingTablesOnly = line.flag("whether the proxy has standing tables only");
         String zone = line.text("a zone");
         int proxyId = line.integer("a proxy id");
-        return new ProxyJoined(proxyId, zone, line.number("the proxy's request rate"));
+        return new ProxyJoined(
+                proxyId, zone, line.number("the proxy's request rate"), !standingTablesOnly);
     }
 
     private static SimulatorEvent replicaReported(SimulatorLine line) {
@@ -166,12 +167,16 @@
     }
 
     private static SimulatorEvent usageReported(SimulatorLine line) {
-        line.wholeNumber("the number of failed requests");
+        long failures = line.wholeNumber("the number of failed requests");
         int proxyId = line.integer("a proxy id");
         String className = line.text("a class");
         long periodTicks = line.ticks("a period");
         return new UsageReported(
-                proxyId, className, line.integer("the number of requests"), periodTicks);
+                proxyId,
+                className,
+                line.integer("the number of requests"),
+                (int) Math.min(Integer.MAX_VALUE, failures),
+                periodTicks);
     }
 
     private static SimulatorEvent messagesAcknowledged(SimulatorLine line) {
--- a/src/main/java/rockshift/testkit/ClusterBenchmark.java
+++ b/src/main/java/rockshift/testkit/ClusterBenchmark.java
@@ -68,6 +68,9 @@
         @Override
         public void applyAgreed(long version, Map<String, Change> out, Map<String, Double> terms) {}
 
+        @Override
+        public void setAgreedStateKnown(boolean known) {}
+
         @Override
         public void setPermittedChanges(PermittedChanges permitted) {}
 
--- a/src/test/java/rockshift/cluster/ClusterFixture.java
+++ b/src/test/java/rockshift/cluster/ClusterFixture.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -35,6 +36,8 @@
     final Map<Integer, Long> versions = new ConcurrentHashMap<>();
     final Map<Integer, LocalController.PermittedChanges> permittedChanges =
             new ConcurrentHashMap<>();
+    final Map<Integer, Boolean> agreedStateKnown = new ConcurrentHashMap<>();
+    final Map<Integer, Set<String>> drained = new ConcurrentHashMap<>();
     final SplittableRandom random = new SplittableRandom(5);
     ClusterSettings.InitialCluster initialCluster = ClusterSettings.InitialCluster.NEW;
     int subscribers = DistributionSettings.DEFAULT_SUBSCRIBERS;
@@ -50,6 +53,12 @@
         public void applyAgreed(
                 long version, Map<String, Change> drains, Map<String, Double> overrides) {
             versions.put(number, version);
+            drained.put(number, Set.copyOf(drains.keySet()));
+        }
+
+        @Override
+        public void setAgreedStateKnown(boolean known) {
+            agreedStateKnown.put(number, known);
         }
 
         @Override
--- a/src/test/java/rockshift/cluster/ReplacedFounderTest.java
+++ b/src/test/java/rockshift/cluster/ReplacedFounderTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -61,6 +62,8 @@
         members[number] = null;
         versions.remove(number);
         permittedChanges.remove(number);
+        drained.remove(number);
+        agreedStateKnown.remove(number);
         try (Stream<Path> files = Files.list(folder.resolve("d" + number))) {
             for (Path file : files.toList()) {
                 Files.delete(file);
@@ -99,6 +102,41 @@
         }
     }
 
+    /**
+     * Guards against a controller that orders a replica which the others hold: a replaced member
+     * waited to be added, and its controller was told nothing of what was agreed.
+     */
+    @Test
+    void replacedMemberLearnsTheAgreedStateBeforeItIsAdded() throws Exception {
+        try (ClusterClient client = client(0, 1, 2)) {
+            startFounderAndTwoAdded(client);
+            loseFolder(0);
+            start(0, 1);
+            await(() -> drained.getOrDefault(0, Set.of()).equals(Set.of("s-1")));
+            await(() -> agreedStateKnown.get(0));
+            client.change(hold("s-2"), false, deadlineMillis());
+            await(() -> versions.get(0) == 2);
+            assertThat(statusOf(0).path("cluster").asText()).isEqualTo("0");
+        }
+    }
+
+    /** Guards against a controller that counts as informed while its member can reach no other. */
+    @Test
+    void memberThatIsCutOffKnowsOnlyItsFolder() throws Exception {
+        try (ClusterClient client = client(0, 1, 2)) {
+            startFounderAndTwoAdded(client);
+            setPartitioned(1, true);
+            members[1].close();
+            drained.remove(1);
+            start(1, 0);
+            TimeUnit.MILLISECONDS.sleep(WATCHED_MS);
+            assertThat(drained.get(1)).as("by the entries in its folder").containsExactly("s-1");
+            assertThat(agreedStateKnown.get(1)).isFalse();
+            setPartitioned(1, false);
+            await(() -> agreedStateKnown.get(1));
+        }
+    }
+
     /**
      * A replaced founder that no member can reach begins a cluster, as at a first start. Guards
      * against two leaders after the partition: it must end its part, limit its controller, and
