--- a/src/main/java/rockshift/planner/ChannelPacer.java
+++ b/src/main/java/rockshift/planner/ChannelPacer.java
@@ -16,11 +16,12 @@
  * is the maximum of two estimates: what the channel has not carried yet at its usual rate, and what
  * was written since the newest message that any proxy acknowledged, less what is in transit.
  *
- * <p>Guards against a drain that waits behind deferrable entries until its grace is over, and
- * against messages above a proxy's quota, which are dropped. The symptom is late drains with
- * messages in flight. The guard holds because deferrable entries only fill a part of the queue and
- * of the quota, and because unacknowledged entries count if the channel is slower than its usual
- * rate.
+ * <p>Guards against a drain that waits behind other messages until its grace is over, and against
+ * messages above a proxy's quota, which are dropped. The symptom is late drains with messages in
+ * flight. The guard holds because deferrable entries only fill a part of the queue and of the
+ * quota, other priority messages leave a part of the quota to required ones, and required ones wait
+ * for each other only; and because unacknowledged entries count if the channel is slower than its
+ * usual rate.
  */
 final class ChannelPacer {
     /** Changes that a proxy's quota allows at present. */
@@ -29,6 +30,8 @@
         ANY,
         /** Changes of the priority budget, see {@link ChangeUrgency#usesPriorityBudget}. */
         PRIORITY_ONLY,
+        /** Changes that safety requires, see {@link ChangeUrgency#REQUIRED}. */
+        REQUIRED_ONLY,
         /** No change until older messages leave the quota window or the spacing has passed. */
         NONE
     }
@@ -39,6 +42,9 @@
      */
     static final double DEFERRABLE_QUOTA_FRACTION = 0.6;
 
+    /** Fraction of the quota that is open to changes that safety does not require. */
+    private static final double PRIORITY_QUOTA_FRACTION = 0.8;
+
     /** Fraction of the queue limit that deferrable entries may fill. */
     private static final double DEFERRABLE_QUEUE_FRACTION = 0.5;
 
@@ -185,8 +191,10 @@
     }
 
     /**
-     * Returns what a proxy may be sent now. Deferrable changes use the first part of the quota;
-     * priority messages are spaced evenly over the rest.
+     * Returns what a proxy may be sent now. Deferrable changes use the first part of the quota.
+     * Over the rest, messages are spaced evenly: required ones from each other, so that no other
+     * message delays them, and other priority messages from all messages, of which the last part of
+     * the quota is kept free.
      */
     Allowance allowance(Proxy proxy, long now) {
         ProxySendState sendState = proxy.sendState();
@@ -195,10 +203,28 @@
             return Allowance.ANY;
         }
         double spacingTicks = quotaWindowTicks / (messageQuota - deferrable);
-        return sendState.messageCount() >= messageQuota
-                        || now - sendState.lastMessageAtTicks() < spacingTicks
-                ? Allowance.NONE
-                : Allowance.PRIORITY_ONLY;
+        if (sendState.messageCount() >= messageQuota
+                || now - sendState.lastRequiredAtTicks() < spacingTicks) {
+            return Allowance.NONE;
+        }
+        boolean mayBePriority =
+                sendState.messageCount() < messageQuota * PRIORITY_QUOTA_FRACTION
+                        && now - sendState.lastMessageAtTicks() >= spacingTicks;
+        return mayBePriority ? Allowance.PRIORITY_ONLY : Allowance.REQUIRED_ONLY;
+    }
+
+    /**
+     * Returns whether a proxy may be sent something that can wait, in this turn's message or in one
+     * of its own, which follows the previous one at an interval of regular rounds.
+     */
+    boolean mayDefer(Proxy proxy, long now) {
+        ProxySendState sendState = proxy.sendState();
+        if (messageQuota <= 0 || sendState.entriesThisTurn() > 0) {
+            return true;
+        }
+        sendState.expireMessages(now - quotaWindowTicks);
+        return allowance(proxy, now) == Allowance.ANY
+                && now - sendState.lastMessageAtTicks() >= Planner.ROUND_INTERVAL_TICKS;
     }
 
     /**
--- a/src/main/java/rockshift/planner/DrainNotifier.java
+++ b/src/main/java/rockshift/planner/DrainNotifier.java
@@ -1,6 +1,10 @@
 package rockshift.planner;
 
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import rockshift.model.ControlScope;
 import rockshift.settings.PlannerSettings;
 
@@ -25,6 +29,13 @@
     private final ChannelPacer pacer;
     private final ReplicaRegistry replicas;
     private final ProxyRegistry proxies;
+
+    /**
+     * By proxy number, the replicas that it was sent a notice about which was not withdrawn; a
+     * proxy keeps notices across its streams.
+     */
+    private final Map<Integer, Set<Replica>> notices = new HashMap<>();
+
     private long noticesCheckedAtTicks;
 
     DrainNotifier(
@@ -48,7 +59,7 @@
     boolean sendOrWithdrawNotices(
             ProxyCommands commands, ControlScope scope, boolean agreedStateKnown, long now) {
         if (proxies.waiting().isEmpty()) {
-            return scope == ControlScope.FULL && withdrawNextNotice(commands, now);
+            return scope == ControlScope.FULL && withdrawNotices(commands, now);
         }
         // Once per turn: later changes wait for the next one.
         if (noticesCheckedAtTicks == now || scope == ControlScope.NONE) {
@@ -59,21 +70,58 @@
     }
 
     /**
-     * Withdraws the notice about one replica that accepts new work again, at all proxies.
+     * Withdraws the notices about all replicas that accept new work again and whose notices all
+     * proxies may be sent the end of now.
      *
-     * @return whether there was one
+     * @return whether there were any
      */
-    private boolean withdrawNextNotice(ProxyCommands commands, long now) {
+    private boolean withdrawNotices(ProxyCommands commands, long now) {
+        boolean withdrawn = false;
         for (Replica replica : replicas.all()) {
-            if (replica.acceptsNewWork() && replica.hasDrainNotice()) {
+            if (replica.acceptsNewWork() && replica.hasDrainNotice() && mayWithdraw(replica, now)) {
                 replica.setDrainNotice(false);
+                notices.values().forEach(notified -> notified.remove(replica));
                 for (Proxy proxy : proxies.all()) {
                     send(commands, proxy, List.of(replica), false, now);
                 }
-                return true;
+                withdrawn = true;
             }
         }
-        return false;
+        return withdrawn;
+    }
+
+    private boolean mayWithdraw(Replica replica, long now) {
+        List<Proxy> notified =
+                proxies.all().stream().filter(proxy -> noticesOf(proxy).contains(replica)).toList();
+        double entries = notified.size() * pacer.shortestMessageEntries();
+        return notified.stream().allMatch(proxy -> mayWithdraw(proxy, now))
+                && pacer.advanceQueue(now) + entries <= pacer.deferrableQueueLimit();
+    }
+
+    /** Returns whether a proxy may be sent the end of a notice, or has no other replica to use. */
+    private boolean mayWithdraw(Proxy proxy, long now) {
+        return pacer.mayDefer(proxy, now)
+                || usesOnlyNotifiedReplicas(proxy) && !pacer.isQuotaSpent(proxy, 1);
+    }
+
+    /** Returns whether all entries of one of its tables lead to replicas that it avoids. */
+    private boolean usesOnlyNotifiedReplicas(Proxy proxy) {
+        return proxy.isBound()
+                && proxy.group().tables().stream()
+                        .anyMatch(table -> table.leadsOnlyTo(noticesOf(proxy)));
+    }
+
+    private Set<Replica> noticesOf(Proxy proxy) {
+        return notices.computeIfAbsent(proxy.number(), number -> new HashSet<>());
+    }
+
+    /** Forgets the notices about replicas that are no longer known. */
+    void forgetGone() {
+        notices.values()
+                .forEach(
+                        notified ->
+                                notified.removeIf(
+                                        replica -> replicas.get(replica.id()) != replica));
     }
 
     /**
@@ -122,6 +170,9 @@
         int cost = 0;
         for (Replica replica : subjects) {
             replica.setDrainNotice(draining);
+            if (draining) {
+                noticesOf(proxy).add(replica);
+            }
             cost += commands.notifyDraining(replica.id(), draining, proxy.number());
         }
         if (cost > 0) {
--- a/src/main/java/rockshift/planner/GroupBatch.java
+++ b/src/main/java/rockshift/planner/GroupBatch.java
@@ -9,8 +9,8 @@
     private final double shortestMessageEntries;
     private double entries;
     private double provisionalTableEntries;
-    private boolean priorityOnly;
-    private boolean blocked;
+    private ChannelPacer.Allowance allowance = ChannelPacer.Allowance.ANY;
+    private boolean hasRequired;
 
     GroupBatch(ProxyGroup group, double shortestMessageEntries) {
         this.group = group;
@@ -18,13 +18,19 @@
     }
 
     /** Applies the allowance of one of its proxies; the strictest one holds for all. */
-    void restrict(ChannelPacer.Allowance allowance) {
-        priorityOnly |= allowance != ChannelPacer.Allowance.ANY;
-        blocked |= allowance == ChannelPacer.Allowance.NONE;
+    void restrict(ChannelPacer.Allowance ofProxy) {
+        if (ofProxy.compareTo(allowance) > 0) {
+            allowance = ofProxy;
+        }
     }
 
-    boolean allows(boolean priority) {
-        return priority ? !blocked : !priorityOnly;
+    boolean allows(ChangeUrgency urgency) {
+        return switch (allowance) {
+            case ANY -> true;
+            case PRIORITY_ONLY -> urgency.usesPriorityBudget();
+            case REQUIRED_ONLY -> urgency == ChangeUrgency.REQUIRED;
+            case NONE -> false;
+        };
     }
 
     int boundProxies() {
@@ -44,13 +50,19 @@
         return group.boundProxies() * (isStarted() ? 1 : shortestMessageEntries);
     }
 
-    void add(RoutingTable table, int entriesSent) {
+    void add(RoutingTable table, ChangeUrgency urgency, int entriesSent) {
         entries += entriesSent;
+        hasRequired |= urgency == ChangeUrgency.REQUIRED;
         if (table == group.provisionalTable()) {
             provisionalTableEntries += entriesSent;
         }
     }
 
+    /** Whether a change that safety requires was sent. */
+    boolean hasRequired() {
+        return hasRequired;
+    }
+
     /** Returns the entries sent to a bound proxy. */
     double entriesFor(Proxy proxy) {
         return proxy.isProvisional() ? provisionalTableEntries : entries;
--- a/src/main/java/rockshift/planner/Planner.java
+++ b/src/main/java/rockshift/planner/Planner.java
@@ -25,7 +25,7 @@
     private static final long TIMER_TICKS = 100 * Ticks.TICKS_PER_MILLI;
 
     /** Interval between two regular rounds, during which table changes are batched. */
-    private static final long ROUND_INTERVAL_TICKS = Ticks.TICKS_PER_SECOND;
+    static final long ROUND_INTERVAL_TICKS = Ticks.TICKS_PER_SECOND;
 
     private final PlannerSettings configuredSettings;
     private final ClassNames classNames;
@@ -374,5 +374,6 @@
             group.tables().forEach(RoutingTable::removeUnusedRoutes);
         }
         replicas.forgetGone(commands, now);
+        drainNotifier.forgetGone();
     }
 }
--- a/src/main/java/rockshift/planner/ProxySendState.java
+++ b/src/main/java/rockshift/planner/ProxySendState.java
@@ -11,13 +11,18 @@
     /** Message in flight. The proxy acknowledges it by its serial number. */
     private record InFlight(int serial, long writtenAtTicks, long entries) {}
 
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
     private final ArrayDeque<Long> quotaWindow = new ArrayDeque<>();
     private final ArrayDeque<InFlight> inFlight = new ArrayDeque<>();
+    private long lastMessageAtTicks = NEVER;
+    private long lastRequiredAtTicks = NEVER;
     private long acknowledgedWriteTicks;
     private double entriesThisTurn;
 
     void countMessage(long now) {
         quotaWindow.add(now);
+        lastMessageAtTicks = now;
     }
 
     void expireMessages(double untilTicks) {
@@ -29,13 +34,19 @@
         return quotaWindow.size();
     }
 
-    /**
-     * Returns when the last message in the quota window was written.
-     *
-     * @throws java.util.NoSuchElementException if there is none
-     */
+    /** Returns when the last message was written; long ago if there was none. */
     long lastMessageAtTicks() {
-        return quotaWindow.getLast();
+        return lastMessageAtTicks;
+    }
+
+    /** Returns when the last message with a change that safety requires was written. */
+    long lastRequiredAtTicks() {
+        return lastRequiredAtTicks;
+    }
+
+    /** Records that this turn's message contains a change that safety requires. */
+    void recordRequired(long now) {
+        lastRequiredAtTicks = now;
     }
 
     double entriesThisTurn() {
--- a/src/main/java/rockshift/planner/RoutingTable.java
+++ b/src/main/java/rockshift/planner/RoutingTable.java
@@ -1,6 +1,7 @@
 package rockshift.planner;
 
 import java.util.Collection;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import rockshift.model.ClassSet;
@@ -73,6 +74,13 @@
                 .noneMatch(route -> route.publishedWeight() > 0 && route.isAllowed());
     }
 
+    /** Returns whether all published entries, if any, lead to replicas of a set. */
+    boolean leadsOnlyTo(Set<Replica> replicas) {
+        return routes.values().stream()
+                .filter(route -> route.publishedWeight() > 0)
+                .allMatch(route -> replicas.contains(route.replica()));
+    }
+
     /** Returns the total capacity of the replicas of the included routes. */
     double capacityOf(Predicate<Route> included) {
         return routes.values().stream()
--- a/src/main/java/rockshift/planner/TablePublisher.java
+++ b/src/main/java/rockshift/planner/TablePublisher.java
@@ -177,13 +177,12 @@
             GroupBatch batch,
             PublishBudget budget) {
         double cost = batch.cost();
-        boolean hasRoom =
-                budget.covers(cost, change, urgency) && batch.allows(urgency.usesPriorityBudget());
+        boolean hasRoom = budget.covers(cost, change, urgency) && batch.allows(urgency);
         if (cost > 0 && !hasRoom) {
             return false;
         }
         budget.spend(cost, change, urgency);
-        batch.add(change.table(), send(commands, change));
+        batch.add(change.table(), urgency, send(commands, change));
         return true;
     }
 
@@ -212,6 +211,9 @@
                 double entries = batch.entriesFor(proxy);
                 if (entries > 0) {
                     pacer.post(proxy, entries, now);
+                    if (batch.hasRequired()) {
+                        proxy.sendState().recordRequired(now);
+                    }
                 }
             }
         }
--- a/src/test/java/rockshift/planner/DrainNotifierScenarioTest.java
+++ b/src/test/java/rockshift/planner/DrainNotifierScenarioTest.java
@@ -5,6 +5,8 @@
 import static rockshift.planner.TestEndpoints.gone;
 import static rockshift.planner.TestEndpoints.startedAt;
 
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import rockshift.planner.SentCommand.DrainNotice;
@@ -60,4 +62,46 @@
         }
         assertThat(controller.channel().longestQueueEntries()).isBetween(500.0, 1500.0);
     }
+
+    /**
+     * A zone came back, and the end of each notice was a message of its own: they took more than
+     * the quota, and a removal waited until the window had passed.
+     */
+    @Test
+    void withdrawnNoticesLeaveTheQuotaToRemovals() {
+        FakeController controller =
+                FakeController.with(
+                                settings ->
+                                        settings.drainGraceTicks(SECOND)
+                                                .longestTransitTicks(SECOND)
+                                                .messageQuota(20)
+                                                .messageQuotaWindowTicks(10 * SECOND))
+                        .start(40, 10, 10);
+        controller.runFor(12);
+        controller.changeEndpoints(
+                LongStream.rangeClosed(1, 18).mapToObj(TestEndpoints::gone).toList());
+        for (int proxy = 0; proxy < 10; proxy += 2) {
+            controller.rejoinProxy(proxy, "east", 10);
+        }
+        controller.runTurn().runFor(3);
+        Map<Integer, Integer> messages = new TreeMap<>();
+        for (long replica = 1; replica <= 18; replica++) {
+            controller.changeEndpoints(startedAt(replica, controller.nowTicks()));
+            for (int step = 0; step < 3; step++) {
+                controller.runFor(0.1);
+                controller.commands(DrainNotice.class).stream()
+                        .map(DrainNotice::proxy)
+                        .distinct()
+                        .forEach(proxy -> messages.merge(proxy, 1, Integer::sum));
+            }
+        }
+        assertThat(messages.values()).as("messages with notices in 5.4 s").isNotEmpty();
+        assertThat(messages.values())
+                .allSatisfy(count -> assertThat(count).isLessThanOrEqualTo(12));
+        controller.changeEndpoints(gone(30));
+        controller.runTurn();
+        assertThat(controller.tables().values())
+                .as("tables in the turn after a replica is gone")
+                .noneMatch(entries -> entries.containsKey(30L));
+    }
 }
