--- a/src/main/java/rockshift/planner/KeptTablePolicy.java
+++ b/src/main/java/rockshift/planner/KeptTablePolicy.java
@@ -1,5 +1,8 @@
 package rockshift.planner;
 
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import rockshift.model.Ticks;
 import rockshift.settings.PlannerSettings;
 
@@ -14,8 +17,9 @@
  * a controller that has not been told. The symptom is traffic to that replica from the proxies of
  * one controller only. The guard holds because a proxy keeps the tables that another controller
  * wrote, which follow what was agreed. A proxy is bound all the same if it may have no replica left
- * to use: if it has only the tables that it started with, reports that it could serve nothing, or
- * has been told to avoid as many replicas as a table has entries.
+ * to use: if it reports that it could serve nothing, if it has been told to avoid as many replicas
+ * as a table has entries, or if it has only the tables that it started with and nothing shows that
+ * they work. Its own reports show that together with those about its zone.
  */
 final class KeptTablePolicy {
     /**
@@ -30,6 +34,10 @@
     private final double waitLimitTicks;
     private final ReplicaRegistry replicas;
     private final RouteEligibility eligibility;
+    private final List<String> zones;
+
+    /** By zone index, when a successful attempt of its proxies was last reported. */
+    private final Map<Integer, Long> servedByZone = new HashMap<>();
 
     KeptTablePolicy(
             PlannerSettings settings, ReplicaRegistry replicas, RouteEligibility eligibility) {
@@ -37,6 +45,7 @@
                 Double.isInfinite(settings.noReplicaLimitTicks())
                         ? DEFAULT_WAIT_TICKS
                         : WAIT_FRACTION * settings.noReplicaLimitTicks();
+        zones = settings.zones();
         this.replicas = replicas;
         this.eligibility = eligibility;
     }
@@ -48,12 +57,26 @@
         }
     }
 
+    /** Records that proxies of a zone reported successful attempts at a replica. */
+    void recordServed(String zone, long now) {
+        servedByZone.put(zones.indexOf(zone), now);
+    }
+
     /** Returns whether a waiting proxy may have no replica to use. */
     boolean mustBind(Proxy proxy, long now) {
         if (!proxy.hasOrderedTables()) {
-            return now - proxy.joinedAtTicks() >= waitLimitTicks;
+            return now - proxy.joinedAtTicks() >= waitLimitTicks && !isServing(proxy, now);
         }
         boolean mayBeEmpty = proxy.keptTables() != null && proxy.keptTables().mayBeEmpty();
         return mayBeEmpty || proxy.servedNothing();
     }
+
+    private boolean isServing(Proxy proxy, long now) {
+        long servedAtTicks =
+                Math.min(
+                        proxy.lastServedAtTicks(),
+                        servedByZone.getOrDefault(proxy.zoneIndex(), proxy.joinedAtTicks()));
+        boolean sinceJoined = servedAtTicks > proxy.joinedAtTicks();
+        return sinceJoined && now - servedAtTicks < waitLimitTicks && !proxy.servedNothing();
+    }
 }
--- a/src/main/java/rockshift/planner/Planner.java
+++ b/src/main/java/rockshift/planner/Planner.java
@@ -210,6 +210,9 @@
             traffic.addAttempts(attempts, failures, meanResponseTicks, spanTicks);
             int late = meanResponseTicks > shortestObjectiveTicks ? attempts - failures : 0;
             replica.recordReport(zone, attempts, failures, late, load);
+            if (attempts > failures) {
+                keptTablePolicy.recordServed(zone, now);
+            }
         }
     }
 
@@ -227,7 +230,7 @@
         if (proxy != null && spanTicks > 0 && classNumber >= 0 && classNumber < classCount) {
             traffic.addArrivals(classNumber, arrivals);
             proxy.demands().get(classNumber).addReport(arrivals, spanTicks, now);
-            proxy.recordServed(classNumber, arrivals, failures);
+            proxy.recordServed(classNumber, arrivals, failures, now);
         }
     }
 
--- a/src/main/java/rockshift/planner/Proxy.java
+++ b/src/main/java/rockshift/planner/Proxy.java
@@ -30,6 +30,8 @@
     /** By class number, whether its last report of requests says that none was served. */
     private final BitSet unservedClasses = new BitSet();
 
+    private long lastServedAtTicks = NEVER;
+
     /**
      * Creates a proxy without a group.
      *
@@ -86,10 +88,18 @@
     }
 
     /** Records how many requests of a class it received, and how many of them it did not serve. */
-    void recordServed(int classNumber, int arrivals, int failures) {
+    void recordServed(int classNumber, int arrivals, int failures, long now) {
         if (arrivals > 0) {
             unservedClasses.set(classNumber, failures >= arrivals);
         }
+        if (arrivals > failures) {
+            lastServedAtTicks = now;
+        }
+    }
+
+    /** When it last reported requests that it served. */
+    long lastServedAtTicks() {
+        return lastServedAtTicks;
     }
 
     /** Whether it served no request of some class, by its last report about that class. */
--- a/src/test/java/rockshift/planner/KeptTablesScenarioTest.java
+++ b/src/test/java/rockshift/planner/KeptTablesScenarioTest.java
@@ -100,6 +100,20 @@
         assertThat(controller.boundProxies()).containsExactly(0, 1);
     }
 
+    /**
+     * Guards against an isolated controller that orders a table for a proxy which serves its
+     * requests with the one that it started with.
+     */
+    @Test
+    void proxyWithoutOrderedTablesThatServesRequestsIsNotBound() {
+        FakeController controller = withoutAgreedState().start(4);
+        controller.runSeconds(
+                20, ReplicaReport.healthy(1, 20, 0.2), ReplicaReport.healthy(2, 20, 0.2));
+        assertThat(controller.boundProxies()).isEmpty();
+        controller.runFor(3);
+        assertThat(controller.boundProxies()).containsExactly(0, 1);
+    }
+
     /** The entries of a folder may not be committed, so what is known replaces them. */
     @Test
     void stateOfTheSameVersionReplacesTheOneFromTheFolder() {
