--- a/src/test/java/rockshift/settings/PlannerSettingsTest.java
+++ b/src/test/java/rockshift/settings/PlannerSettingsTest.java
@@ -36,6 +36,7 @@
                         .admissionMode(AdmissionMode.FRACTION)
                         .idleCloseTicks(12)
                         .drainGraceTicks(13)
+                        .noReplicaLimitTicks(13.5)
                         .initialSlowStartFraction(14)
                         .slowStartTicks(15)
                         .slowStartOverloadMultiple(16)
@@ -57,6 +58,7 @@
                                 + " longestTransitTicks=9.0, reportPeriodTicks=10,"
                                 + " defaultRetryMode=11, admissionMode=FRACTION,"
                                 + " idleCloseTicks=12.0, drainGraceTicks=13.0,"
+                                + " noReplicaLimitTicks=13.5,"
                                 + " initialSlowStartFraction=14.0, slowStartTicks=15.0,"
                                 + " slowStartOverloadMultiple=16.0, worstClassWeight=17.0,"
                                 + " zoneCrossingPrice=18.0, commandPrice=19.0,"
