--- a/src/main/java/rockshift/cluster/MemberConnection.java
+++ b/src/main/java/rockshift/cluster/MemberConnection.java
@@ -39,7 +39,7 @@
     private Role role;
 
     MemberConnection(IOSession session, MemberConnections connections, OutgoingPeer outgoingPeer) {
-        super(session, connections.readBuffer(), MAX_UNSENT_BYTES);
+        super(session, connections.readBuffer(), MAX_UNSENT_BYTES, outgoingPeer != null);
         this.connections = connections;
         this.outgoingPeer = outgoingPeer;
     }
--- a/src/main/java/rockshift/distribution/wire/DistributionConnection.java
+++ b/src/main/java/rockshift/distribution/wire/DistributionConnection.java
@@ -32,8 +32,12 @@
     private final Handler handler;
 
     DistributionConnection(
-            IOSession session, ByteBuffer readBuffer, int maxUnsentBytes, Handler handler) {
-        super(session, readBuffer, maxUnsentBytes);
+            IOSession session,
+            ByteBuffer readBuffer,
+            int maxUnsentBytes,
+            boolean outgoing,
+            Handler handler) {
+        super(session, readBuffer, maxUnsentBytes, outgoing);
         this.handler = handler;
     }
 
--- a/src/main/java/rockshift/distribution/wire/RelayProcess.java
+++ b/src/main/java/rockshift/distribution/wire/RelayProcess.java
@@ -80,7 +80,7 @@
                         listen,
                         (session, readBuffer) ->
                                 new DistributionConnection(
-                                        session, readBuffer, MAX_UNSENT_BYTES, downstream));
+                                        session, readBuffer, MAX_UNSENT_BYTES, false, downstream));
         reactor.addTickTask(tick);
         LOG.info(
                 "relay listening name={} address={} port={} upstreams={}",
--- a/src/main/java/rockshift/distribution/wire/UpstreamConnector.java
+++ b/src/main/java/rockshift/distribution/wire/UpstreamConnector.java
@@ -67,7 +67,8 @@
         reactor.connect(
                 new InetSocketAddress(address.getHostString(), address.getPort()),
                 (session, readBuffer) ->
-                        new DistributionConnection(session, readBuffer, MAX_UNSENT_BYTES, attempt),
+                        new DistributionConnection(
+                                session, readBuffer, MAX_UNSENT_BYTES, true, attempt),
                 attempt::failed);
     }
 
--- a/src/main/java/rockshift/server/CloseReason.java
+++ b/src/main/java/rockshift/server/CloseReason.java
@@ -17,7 +17,7 @@
     SEND_BUFFER_FULL("send-buffer-full"),
     /**
      * One of two limits is reached: the planner's queue is full and this peer has used its quota of
-     * it, or the partial messages of all peers take too much memory and this peer has one.
+     * it, or the process holds too much memory for all peers and this peer holds most.
      */
     OVERLOAD("overload"),
     CONNECTION_LIMIT("connection-limit"),
--- a/src/main/java/rockshift/server/EventLoop.java
+++ b/src/main/java/rockshift/server/EventLoop.java
@@ -9,6 +9,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import rockshift.model.Ticks;
+import rockshift.net.PeerMemory;
 import rockshift.planner.Planner;
 import rockshift.settings.PlannerSettings;
 
@@ -44,8 +45,13 @@
      * An event in the queue.
      *
      * @param pending counter of the queued events of the peer that sent it, or null if no peer did
+     * @param account charged for the event while it is queued, or null
      */
-    private record QueuedEvent(PlannerEvent event, AtomicInteger pending) {}
+    private record QueuedEvent(
+            PlannerEvent event, AtomicInteger pending, PeerMemory.Account account) {}
+
+    /** What a queued event takes, with the texts in it. */
+    private static final int EVENT_BYTES = 256;
 
     /** {@link #offer} bounds what a peer adds; the callers of {@link #submit} bound the rest. */
     private final LinkedBlockingQueue<QueuedEvent> queue = new LinkedBlockingQueue<>();
@@ -95,11 +101,17 @@
      * @return false if the queue is full and the peer has used its quota
      */
     boolean offer(AtomicInteger pending, PlannerEvent event) {
-        if (queue.size() >= QUEUE_CAPACITY && pending.get() >= PER_PEER_QUEUE_QUOTA) {
+        return offer(pending, null, event);
+    }
+
+    /** The same for an event that is charged to the account of the peer's connection. */
+    boolean offer(AtomicInteger pending, PeerMemory.Account account, PlannerEvent event) {
+        boolean overQuota = queue.size() >= QUEUE_CAPACITY && pending.get() >= PER_PEER_QUEUE_QUOTA;
+        if (overQuota || account != null && !account.charge(EVENT_BYTES)) {
             return false;
         }
         pending.incrementAndGet();
-        return queue.add(new QueuedEvent(event, pending));
+        return queue.add(new QueuedEvent(event, pending, account));
     }
 
     /**
@@ -107,7 +119,7 @@
      * connection.
      */
     void submit(PlannerEvent event) {
-        queue.add(new QueuedEvent(event, null));
+        queue.add(new QueuedEvent(event, null, null));
     }
 
     /** Passes a list of replicas to the listener, then queues it. */
@@ -169,6 +181,9 @@
         if (input.pending != null) {
             input.pending.decrementAndGet();
         }
+        if (input.account != null) {
+            input.account.release(EVENT_BYTES);
+        }
         input.event.apply(now, planner, tables);
     }
 
--- a/src/main/java/rockshift/server/ProxyConnection.java
+++ b/src/main/java/rockshift/server/ProxyConnection.java
@@ -9,10 +9,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.ReentrantLock;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.Timeout;
+import rockshift.net.PeerMemory;
 
 /**
  * One connection of a peer. It decodes the received bytes to messages, passes these to the planner
@@ -22,7 +24,7 @@
  * <p>It belongs to the reactor's thread. The event loop's thread also calls {@link #send}, which
  * may close the connection; the fields that both threads use are atomic or concurrent.
  */
-final class ProxyConnection implements IOEventHandler, ProxyChannel {
+final class ProxyConnection implements IOEventHandler, ProxyChannel, PeerMemory.Holder {
     /** Time within which a peer must identify itself; the protocol allows 3 s. */
     static final int IDENTIFY_TIMEOUT_MS = 1_500;
 
@@ -49,8 +51,15 @@
     private final ProxyConnections connections;
     private final EventLoop loop;
     private final long acceptedNanos = System.nanoTime();
-    private final RespCodec codec = new RespCodec();
-    private final SendBuffer sendBuffer = new SendBuffer();
+    private final PeerMemory.Account memory = PeerMemory.ofProcess().open(this);
+
+    /** Held while received bytes are handled. */
+    private final ReentrantLock inputLock = new ReentrantLock();
+
+    /** Guarded by the lock above. */
+    private final RespCodec codec = new RespCodec(memory);
+
+    private final SendBuffer sendBuffer = new SendBuffer(memory);
 
     /** Number of messages of this peer that are in the event loop's queue. */
     private final AtomicInteger pendingMessages = new AtomicInteger();
@@ -91,27 +100,40 @@
             close(CloseReason.PEER_CLOSED, "");
             return;
         }
-        PartialMessageBudget partialMessages = connections.partialMessages();
-        partialMessages.release(codec.excessBytes());
+        inputLock.lock();
         try {
-            codec.feed(chunk.flip());
-            acceptMessages();
+            if (closure.get() == null) {
+                codec.feed(chunk.flip());
+                acceptMessages();
+            }
         } catch (MalformedStreamException malformed) {
             close(malformed.reason(), malformed.getMessage());
+        } catch (PeerMemory.ExceededException exceeded) {
+            close(CloseReason.OVERLOAD, exceeded.getMessage());
         } finally {
-            partialMessages.reserve(codec.excessBytes());
+            inputLock.unlock();
         }
         closeIfIdentificationTimedOut();
-        if (partialMessages.isExceeded() && codec.excessBytes() > 0) {
-            // The planner's queue is the other limit that closes with this reason.
-            close(CloseReason.OVERLOAD, "partial messages of all peers exceed their memory limit");
+    }
+
+    @Override
+    public void closeToFreeMemory() {
+        close(CloseReason.OVERLOAD, "holds most of the memory that all peers may hold");
+        sendBuffer.clear();
+        // A codec that is in use, by this thread or another, is dropped by its user.
+        if (!inputLock.isHeldByCurrentThread() && inputLock.tryLock()) {
+            try {
+                codec.discard();
+            } finally {
+                inputLock.unlock();
+            }
         }
     }
 
     private void acceptMessages() throws MalformedStreamException {
         while (closure.get() == null && codec.next()) {
             if (!acceptMessage()) {
-                // Partial messages are the other limit that closes with this reason.
+                // The memory held for all peers is the other limit that closes with this reason.
                 close(CloseReason.OVERLOAD, pendingMessages + " messages queued for the planner");
             }
         }
@@ -153,16 +175,19 @@
             case RespCodec.LOAD_REPORT ->
                     loop.offer(
                             pendingMessages,
+                            memory,
                             new PlannerEvent.LoadReported(
                                     LoadReport.decode(codec, peer, validator)));
             case RespCodec.USAGE ->
                     loop.offer(
                             pendingMessages,
+                            memory,
                             new PlannerEvent.UsageReported(
                                     UsageReport.decode(codec, peer, validator)));
             case RespCodec.APPLIED ->
                     loop.offer(
                             pendingMessages,
+                            memory,
                             new PlannerEvent.Acknowledged(
                                     ProxyAcknowledgement.decode(codec, peer, validator), this));
             default ->
@@ -173,7 +198,8 @@
 
     /** Joins a proxy. Its previous connection is closed only after this one is accepted. */
     private boolean join(ProxyJoin join) {
-        boolean accepted = loop.offer(pendingMessages, new PlannerEvent.ProxyJoined(join, this));
+        boolean accepted =
+                loop.offer(pendingMessages, memory, new PlannerEvent.ProxyJoined(join, this));
         if (accepted) {
             identify(PeerIdentity.proxy(join.proxyNumber()));
         }
@@ -214,6 +240,7 @@
      */
     private void send(byte[] message, int limitBytes) {
         if (!sendBuffer.offer(message, limitBytes)) {
+            // Or the memory of all peers is used up; then this one was closed for that before.
             close(CloseReason.SEND_BUFFER_FULL, "over " + limitBytes + " bytes unsent");
             return;
         }
@@ -256,8 +283,8 @@
     public void disconnected(IOSession sameSession) {
         closure.compareAndSet(null, new Closure(CloseReason.SHUTDOWN, ""));
         connections.remove(peer, this);
-        connections.partialMessages().release(codec.excessBytes());
         sendBuffer.clear();
+        memory.close();
         if (peer.isProxy()) {
             loop.submit(new PlannerEvent.ProxyLeft(peer.proxyNumber(), this));
         }
--- a/src/main/java/rockshift/server/ProxyConnections.java
+++ b/src/main/java/rockshift/server/ProxyConnections.java
@@ -26,7 +26,6 @@
     private final MessageValidator validator;
     private final int maxConnections;
     private final ByteBuffer readChunk = ByteBuffer.allocate(READ_CHUNK_BYTES);
-    private final PartialMessageBudget partialMessages = new PartialMessageBudget();
     private final ConnectionCloseLog closeLog = new ConnectionCloseLog();
 
     /** In the order of their acceptance. */
@@ -62,10 +61,6 @@
         return validator;
     }
 
-    PartialMessageBudget partialMessages() {
-        return partialMessages;
-    }
-
     ConnectionCloseLog closeLog() {
         return closeLog;
     }
--- a/src/main/java/rockshift/server/RespCodec.java
+++ b/src/main/java/rockshift/server/RespCodec.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import rockshift.net.PeerMemory;
 
 /**
  * The codec of proxy and collector connections. It reads RESP2 arrays of bulk strings from bytes
@@ -71,6 +72,9 @@
 
     private static final String NO = "0";
 
+    /** Charged for the buffers beyond their initial size; null for none. */
+    private final PeerMemory.Account account;
+
     private byte[] buffer = new byte[INITIAL_BUFFER_BYTES];
     private int end;
 
@@ -91,14 +95,45 @@
 
     private int parsedStrings;
 
-    /** Adds received bytes. */
+    /** Creates a codec whose memory is not limited, for peers that are trusted. */
+    public RespCodec() {
+        this(null);
+    }
+
+    /** Creates a codec that charges its buffers to the account of a connection. */
+    RespCodec(PeerMemory.Account account) {
+        this.account = account;
+    }
+
+    /** Charges a buffer that replaces another one, before it is allocated. */
+    private void charge(long bytes) {
+        if (account != null && !account.charge(bytes)) {
+            throw new PeerMemory.ExceededException(bytes);
+        }
+    }
+
+    private void release(long bytes) {
+        if (account != null) {
+            account.release(bytes);
+        }
+    }
+
+    /**
+     * Adds received bytes.
+     *
+     * @throws PeerMemory.ExceededException if they are not accepted; the codec is then unusable
+     */
     public void feed(ByteBuffer received) {
         int count = received.remaining();
         if (messageStart > 0 && end + count > buffer.length) {
             compact();
         }
         if (end + count > buffer.length) {
-            buffer = Arrays.copyOf(buffer, Math.max(2 * buffer.length, end + count));
+            int replaced = buffer.length;
+            int length = Math.max(2 * replaced, end + count);
+            charge(length);
+            buffer = Arrays.copyOf(buffer, length);
+            release(replaced);
         }
         received.get(buffer, end, count);
         end += count;
@@ -157,15 +192,26 @@
             messageStart = 0;
             end = 0;
             position = 0;
-            if (buffer.length > INITIAL_BUFFER_BYTES) {
-                buffer = new byte[INITIAL_BUFFER_BYTES];
-            }
-            if (bounds.length > INITIAL_BOUNDS) {
-                bounds = new int[INITIAL_BOUNDS];
-            }
+            releaseBuffers();
         }
     }
 
+    private void releaseBuffers() {
+        release(excessBytes());
+        if (buffer.length > INITIAL_BUFFER_BYTES) {
+            buffer = new byte[INITIAL_BUFFER_BYTES];
+        }
+        if (bounds.length > INITIAL_BOUNDS) {
+            bounds = new int[INITIAL_BOUNDS];
+        }
+    }
+
+    /** Drops what was received. The codec must not be used any more. */
+    void discard() {
+        releaseBuffers();
+        end = 0;
+    }
+
     private boolean parseString() throws MalformedStreamException {
         if (nextLength == UNKNOWN) {
             nextLength = parseLength('$');
@@ -182,7 +228,10 @@
             throw malformed("an end of line after a string of " + nextLength + " bytes");
         }
         if (2 * parsedStrings + 2 > bounds.length) {
-            bounds = Arrays.copyOf(bounds, 2 * bounds.length);
+            int replaced = bounds.length;
+            charge(2L * Integer.BYTES * replaced);
+            bounds = Arrays.copyOf(bounds, 2 * replaced);
+            release((long) Integer.BYTES * replaced);
         }
         bounds[2 * parsedStrings] = position;
         bounds[2 * parsedStrings + 1] = stringEnd;
--- a/src/main/java/rockshift/wire/FramedConnection.java
+++ b/src/main/java/rockshift/wire/FramedConnection.java
@@ -6,10 +6,12 @@
 import java.nio.channels.SelectionKey;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.ReentrantLock;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.Timeout;
+import rockshift.net.PeerMemory;
 
 /**
  * A connection that exchanges {@link Frames} with a peer. It owns the socket, the received bytes,
@@ -17,13 +19,16 @@
  * kept. Events are delivered on the reactor's thread; {@link #send} and {@link #close} may be
  * called from any thread.
  */
-public abstract class FramedConnection implements IOEventHandler {
+public abstract class FramedConnection implements IOEventHandler, PeerMemory.Holder {
     /**
      * Time after which a peer that reads nothing, while frames are queued for it, counts as
      * stalled.
      */
     private static final long MAX_STALL_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+    /** The reason if the process holds too much for its peers. */
+    private static final String OVERLOAD = "overload";
+
     /** Maximum time that a closing connection waits for the peer to read the queued frames. */
     private static final int CLOSE_GRACE_MILLIS = 500;
 
@@ -31,7 +36,14 @@
     private final SocketAddress peerAddress;
     private final ByteBuffer readBuffer;
     private final int maxUnsentBytes;
-    private final Frames frames = new Frames();
+    private final PeerMemory.Account memory;
+
+    /** Held while received bytes are handled. */
+    private final ReentrantLock inputLock = new ReentrantLock();
+
+    /** Guarded by the lock above. */
+    private final Frames frames;
+
     // Guarded by the session's lock. The first of the queued frames may be partly sent.
     private final ArrayDeque<ByteBuffer> queuedFrames = new ArrayDeque<>();
     private int unsentBytes;
@@ -46,8 +58,13 @@
      *
      * @param readBuffer shared by all connections of one reactor thread
      * @param maxUnsentBytes maximum number of bytes queued for sending
+     * @param outgoing whether this process has opened it
      */
-    protected FramedConnection(IOSession session, ByteBuffer readBuffer, int maxUnsentBytes) {
+    protected FramedConnection(
+            IOSession session, ByteBuffer readBuffer, int maxUnsentBytes, boolean outgoing) {
+        PeerMemory all = PeerMemory.ofProcess();
+        memory = outgoing ? all.openOutgoing() : all.open(this);
+        frames = new Frames(memory);
         this.session = session;
         this.peerAddress = session.getRemoteAddress();
         this.readBuffer = readBuffer;
@@ -100,7 +117,11 @@
     }
 
     private void handleFrames(ByteBuffer received) {
+        inputLock.lock();
         try {
+            if (reason() != null) {
+                return;
+            }
             frames.feed(received);
             for (Frames.Frame frame = frames.next();
                     frame != null && reason() == null;
@@ -111,6 +132,40 @@
             close(invalid.reasonCode(), invalid.getMessage());
         } catch (IOException malformed) {
             close("malformed", malformed.getMessage());
+        } catch (PeerMemory.ExceededException exceeded) {
+            close(OVERLOAD, exceeded.getMessage());
+        } finally {
+            inputLock.unlock();
+        }
+    }
+
+    /** Returns the account of the memory that is held for this connection's peer. */
+    public final PeerMemory.Account memory() {
+        return memory;
+    }
+
+    @Override
+    public final void closeToFreeMemory() {
+        close(OVERLOAD, "holds most of the memory that all peers may hold");
+        discardUnsent();
+        // Received bytes that are in use, by this thread or another, are dropped by their user.
+        if (!inputLock.isHeldByCurrentThread() && inputLock.tryLock()) {
+            try {
+                frames.discard();
+            } finally {
+                inputLock.unlock();
+            }
+        }
+    }
+
+    private void discardUnsent() {
+        session.getLock().lock();
+        try {
+            queuedFrames.clear();
+            memory.release(unsentBytes);
+            unsentBytes = 0;
+        } finally {
+            session.getLock().unlock();
         }
     }
 
@@ -121,7 +176,12 @@
      *     queued or the connection is closing
      */
     public final boolean send(byte kind, byte[] payload) {
+        int size = Frames.size(payload);
+        if (reason() != null || !memory.charge(size)) {
+            return false;
+        }
         ByteBuffer frame = ByteBuffer.wrap(Frames.frame(kind, payload));
+        int queuedBytes = 0;
         session.getLock().lock();
         try {
             if (closesWhenSent) {
@@ -137,7 +197,8 @@
             if (unsentBytes + frame.remaining() > maxUnsentBytes) {
                 return false;
             }
-            unsentBytes += frame.remaining();
+            queuedBytes = frame.remaining();
+            unsentBytes += queuedBytes;
             queuedFrames.add(frame);
             session.setEvent(SelectionKey.OP_WRITE);
             return true;
@@ -146,6 +207,7 @@
             return false;
         } finally {
             session.getLock().unlock();
+            memory.release(size - queuedBytes);
         }
     }
 
@@ -158,6 +220,7 @@
                     first = queuedFrames.peek()) {
                 int written = session.write(first);
                 unsentBytes -= written;
+                memory.release(written);
                 if (written > 0) {
                     lastProgressNanos = System.nanoTime();
                 }
@@ -257,5 +320,6 @@
     @Override
     public final void disconnected(IOSession same) {
         closed();
+        memory.close();
     }
 }
--- a/src/main/java/rockshift/wire/Frames.java
+++ b/src/main/java/rockshift/wire/Frames.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import rockshift.net.PeerMemory;
 import rockshift.raft.Checksum;
 
 /**
@@ -72,8 +73,21 @@
     /** A larger buffer is released when it is empty, as most connections are idle. */
     private static final int MAX_IDLE_BUFFER_BYTES = 4 << 10;
 
+    /** Charged for the buffer; null for none. */
+    private final PeerMemory.Account account;
+
     private ByteBuffer buffer = EMPTY;
 
+    /** Creates an instance whose memory is not limited. */
+    public Frames() {
+        this(null);
+    }
+
+    /** Creates an instance that charges its buffer to the account of a connection. */
+    Frames(PeerMemory.Account account) {
+        this.account = account;
+    }
+
     /** Returns an encoded frame. */
     public static byte[] frame(byte kind, byte[] payload) {
         byte[] body = new byte[payload.length + 1];
@@ -86,15 +100,26 @@
                 .array();
     }
 
-    /** Adds bytes as they arrive. */
+    /** Returns the size of an encoded frame. */
+    static int size(byte[] payload) {
+        return HEADER_BYTES + 1 + payload.length;
+    }
+
+    /**
+     * Adds bytes as they arrive.
+     *
+     * @throws PeerMemory.ExceededException if they are not accepted; the instance is then unusable
+     */
     public void feed(ByteBuffer received) {
         if (buffer.capacity() - buffer.limit() < received.remaining()) {
             int needed = buffer.remaining() + received.remaining();
-            ByteBuffer larger =
-                    ByteBuffer.allocate(
-                            Math.max(needed, Math.min(MAX_FRAME_BYTES + HEADER_BYTES, 2 * needed)));
+            int capacity = Math.max(needed, Math.min(MAX_FRAME_BYTES + HEADER_BYTES, 2 * needed));
+            if (account != null && !account.charge(capacity)) {
+                throw new PeerMemory.ExceededException(capacity);
+            }
+            ByteBuffer larger = ByteBuffer.allocate(capacity);
             larger.put(buffer).flip();
-            buffer = larger;
+            replaceBuffer(larger);
         }
         int position = buffer.position();
         int limit = buffer.limit();
@@ -102,6 +127,18 @@
         buffer.put(received).position(position);
     }
 
+    private void replaceBuffer(ByteBuffer replacement) {
+        if (account != null) {
+            account.release(buffer.capacity());
+        }
+        buffer = replacement;
+    }
+
+    /** Drops what was received. */
+    void discard() {
+        replaceBuffer(EMPTY);
+    }
+
     /** Returns the next complete frame, or null if more bytes are needed. */
     public Frame next() throws InvalidFrameException {
         if (buffer.remaining() < HEADER_BYTES) {
@@ -117,7 +154,11 @@
         byte[] body = new byte[length];
         buffer.get(body);
         if (!buffer.hasRemaining()) {
-            buffer = buffer.capacity() > MAX_IDLE_BUFFER_BYTES ? EMPTY : buffer.clear().limit(0);
+            if (buffer.capacity() > MAX_IDLE_BUFFER_BYTES) {
+                discard();
+            } else {
+                buffer.clear().limit(0);
+            }
         }
         return check(body, checksum);
     }
