--- a/src/main/java/rockshift/cluster/ClusterMember.java
+++ b/src/main/java/rockshift/cluster/ClusterMember.java
@@ -116,7 +116,7 @@
         appliedChanges = new AppliedChanges(agreed, controller, distribution);
         knowledge =
                 new AgreedStateKnowledge(
-                        settings, recoveredState, controller, appliedChanges, inputs::offer);
+                        settings, recoveredState, controller, appliedChanges, inputs::put);
         commands = newCommandService(controller);
         updateHello();
     }
@@ -222,17 +222,14 @@
      * Passes the time and the waiting inputs to the engine, runs it, and updates its dependents.
      */
     private void runIteration(List<Runnable> batch) throws InterruptedException {
-        Runnable first = inputs.poll(MAX_WAIT_MS);
+        inputs.await(MAX_WAIT_MS);
         engine.tick(nowTicks());
-        if (first != null) {
-            batch.add(first);
-            inputs.drainTo(batch);
-            for (Runnable input : batch) {
-                input.run();
-                engine.tick(nowTicks());
-            }
-            batch.clear();
+        inputs.drainTo(batch);
+        for (Runnable input : batch) {
+            input.run();
+            engine.tick(nowTicks());
         }
+        batch.clear();
         if (bootstrap.isSuperseded()) {
             if (!takesNoPart) {
                 stopTakingPart();
@@ -322,14 +319,25 @@
         }
 
         @Override
-        public void messageReceived(byte[] payload, long cluster) throws IOException {
-            if (bootstrap.isPartOfCluster() && cluster == bootstrap.clusterId()) {
-                Message message = MessageCodec.decode(payload);
-                inputs.offer(
-                        () -> {
-                            engine.receive(message);
-                            distribution.messageReceived(message, engine.raft());
-                        });
+        public void messageReceived(MemberConnection from, byte[] payload, long cluster)
+                throws IOException {
+            if (bootstrap.isPartOfCluster()
+                    && cluster == bootstrap.clusterId()
+                    && from.memory().charge(payload.length)) {
+                queueMessage(from, payload.length, MessageCodec.decode(payload));
+            }
+        }
+
+        private void queueMessage(MemberConnection from, int bytes, Message message) {
+            boolean queued =
+                    inputs.offer(
+                            () -> {
+                                from.memory().release(bytes);
+                                engine.receive(message);
+                                distribution.messageReceived(message, engine.raft());
+                            });
+            if (!queued) {
+                from.memory().release(bytes);
             }
         }
 
--- a/src/main/java/rockshift/cluster/CommandService.java
+++ b/src/main/java/rockshift/cluster/CommandService.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import rockshift.raft.Member;
 import rockshift.raft.ProposalRejection;
-import rockshift.wire.Frames;
 
 /**
  * Executes the calls of commands and replies to them. {@link #callReceived} is called by the
@@ -16,7 +15,18 @@
  */
 final class CommandService {
     /** The connection to reply on, and the caller's number of the call. */
-    private record Caller(MemberConnection connection, long callNumber) {}
+    private record Caller(MemberConnection connection, long callNumber, long heldBytes) {
+        void reply(byte[] payload) {
+            connection.memory().release(heldBytes);
+            connection.reply(payload);
+        }
+    }
+
+    /** What a call takes in addition to its texts. */
+    private static final int CALL_BYTES = 1 << 10;
+
+    /** A call is held as bytes and as decoded texts. */
+    private static final int HELD_PER_PAYLOAD_BYTE = 3;
 
     /** Operations that a member also executes once its cluster is superseded. */
     private static final Set<String> LOCAL_OPERATIONS = Set.of("status", "log");
@@ -53,30 +63,31 @@
 
     /** Queues a call for the member's thread. Called by the reactor's thread. */
     void callReceived(MemberConnection from, byte[] payload) {
+        long heldBytes = CALL_BYTES + (long) HELD_PER_PAYLOAD_BYTE * payload.length;
+        if (!from.memory().charge(heldBytes)) {
+            from.reply(CommandReply.refusal(0, "busy"));
+            return;
+        }
+        Caller caller = new Caller(from, 0, heldBytes);
         try {
             CommandCall call = CommandCall.parse(payload);
-            if (!inputs.offer(() -> execute(from, call))) {
-                refuse(from, call.callNumber(), "busy");
-            }
+            Caller numbered = new Caller(from, call.callNumber(), heldBytes);
+            inputs.addCall(from, () -> execute(numbered, call));
         } catch (IOException malformed) {
-            refuse(from, 0, "malformed: " + malformed.getMessage());
+            caller.reply(CommandReply.refusal(0, "malformed: " + malformed.getMessage()));
         }
     }
 
-    private static void refuse(MemberConnection to, long callNumber, String refusal) {
-        to.send(Frames.REPLY, CommandReply.refusal(callNumber, refusal));
-    }
-
-    private void execute(MemberConnection from, CommandCall call) {
-        long callNumber = 0;
+    private void execute(Caller caller, CommandCall call) {
         try {
-            callNumber = call.callNumber();
             lastRequest++;
-            callers.put(lastRequest, new Caller(from, callNumber));
+            callers.put(lastRequest, caller);
             execute(lastRequest, call);
         } catch (IOException malformed) {
             callers.remove(lastRequest);
-            refuse(from, callNumber, "malformed: " + malformed.getMessage());
+            caller.reply(
+                    CommandReply.refusal(
+                            caller.callNumber, "malformed: " + malformed.getMessage()));
         }
     }
 
@@ -166,7 +177,7 @@
     private void reply(long request, CommandReply.Fields fields) {
         Caller caller = callers.remove(request);
         if (caller != null) {
-            caller.connection.send(Frames.REPLY, CommandReply.encode(caller.callNumber, fields));
+            caller.reply(CommandReply.encode(caller.callNumber, fields));
         }
     }
 
--- a/src/main/java/rockshift/cluster/MemberConnection.java
+++ b/src/main/java/rockshift/cluster/MemberConnection.java
@@ -1,6 +1,7 @@
 package rockshift.cluster;
 
 import java.io.IOException;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.Timeout;
 import org.slf4j.Logger;
@@ -27,6 +28,9 @@
     /** How long an identified incoming connection may send nothing. */
     private static final int IDLE_TIMEOUT_MS = 60_000;
 
+    /** The number of unanswered calls from which a caller is not read. */
+    private static final int MAX_OPEN_CALLS = 64;
+
     private final MemberConnections connections;
 
     /** The peer that this member connected to, or null for an incoming connection. */
@@ -35,6 +39,9 @@
     /** The last hello received from the peer, or null. */
     private Hello peerHello;
 
+    /** The calls received on this connection that are not answered yet. */
+    private final AtomicInteger openCalls = new AtomicInteger();
+
     /** The role of an incoming connection, or null. */
     private Role role;
 
@@ -84,7 +91,7 @@
         switch (frame.kind()) {
             case Frames.HELLO -> helloReceived(Hello.decode(frame.payload()));
             case Frames.MESSAGE -> messageReceived(frame.payload());
-            case Frames.CALL -> connections.handler().callReceived(this, frame.payload());
+            case Frames.CALL -> callReceived(frame.payload());
             case Frames.WATCH -> connections.subscribers().received(this, frame.payload());
             default ->
                     throw new Frames.InvalidFrameException(
@@ -118,7 +125,32 @@
             throw new Frames.InvalidFrameException(
                     "unexpected", "message received before the sender's hello");
         }
-        connections.handler().messageReceived(payload, peerHello.cluster());
+        connections.handler().messageReceived(this, payload, peerHello.cluster());
+    }
+
+    /**
+     * Passes on a call. A caller whose calls are not answered yet is read no further once they are
+     * too many.
+     */
+    private void callReceived(byte[] payload) {
+        if (openCalls.incrementAndGet() >= MAX_OPEN_CALLS) {
+            pauseInput();
+            // The member's thread may have answered them meanwhile.
+            resumeIfFewCalls(openCalls.get());
+        }
+        connections.handler().callReceived(this, payload);
+    }
+
+    /** Sends the reply to a call. May be called by any thread. */
+    void reply(byte[] payload) {
+        send(Frames.REPLY, payload);
+        resumeIfFewCalls(openCalls.decrementAndGet());
+    }
+
+    private void resumeIfFewCalls(int open) {
+        if (open < MAX_OPEN_CALLS / 2) {
+            resumeInput();
+        }
     }
 
     @Override
--- a/src/main/java/rockshift/cluster/MemberConnections.java
+++ b/src/main/java/rockshift/cluster/MemberConnections.java
@@ -61,7 +61,8 @@
          * @param cluster the id of the sender's cluster
          * @throws IOException if the message cannot be decoded; the connection is then closed
          */
-        void messageReceived(byte[] payload, long cluster) throws IOException;
+        void messageReceived(MemberConnection from, byte[] payload, long cluster)
+                throws IOException;
 
         /** Handles the call of a command; the reply goes to the connection that it came from. */
         void callReceived(MemberConnection from, byte[] payload);
--- a/src/main/java/rockshift/distribution/wire/DownstreamConnections.java
+++ b/src/main/java/rockshift/distribution/wire/DownstreamConnections.java
@@ -106,18 +106,22 @@
         }
         try {
             DistributionMessage message = DistributionCodec.read(payload);
-            queue(peer, () -> publisher.received(peer.number, message, nowMillis()));
+            queue(
+                    peer,
+                    payload.length,
+                    () -> publisher.received(peer.number, message, nowMillis()));
         } catch (IOException malformed) {
             String detail = malformed.getMessage();
             queue(
                     peer,
+                    payload.length,
                     () ->
                             publisher.undecodable(
                                     peer.number, RejectionReason.MALFORMED, detail, nowMillis()));
         }
     }
 
-    private void queue(Peer peer, Runnable step) {
+    private void queue(Peer peer, int bytes, Runnable step) {
         if (peer.queued.get() >= MAX_QUEUED_PER_SUBSCRIBER || queued.get() >= MAX_QUEUED) {
             peer.connection.close(
                     "flood",
@@ -130,12 +134,17 @@
                             + MAX_QUEUED);
             return;
         }
+        if (!peer.connection.memory().charge(bytes)) {
+            peer.connection.close("overload", "the memory for all peers is used up");
+            return;
+        }
         peer.queued.incrementAndGet();
         queued.incrementAndGet();
         steps.execute(
                 () -> {
                     peer.queued.decrementAndGet();
                     queued.decrementAndGet();
+                    peer.connection.memory().release(bytes);
                     step.run();
                 });
     }
--- a/src/main/java/rockshift/wire/FramedConnection.java
+++ b/src/main/java/rockshift/wire/FramedConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +33,12 @@
     /** Maximum time that a closing connection waits for the peer to read the queued frames. */
     private static final int CLOSE_GRACE_MILLIS = 500;
 
+    /** Maximum number of bytes read from one connection before others are served. */
+    private static final int MAX_READ_BYTES = 256 << 10;
+
+    /** Number of bytes that may wait while the input is paused. */
+    private static final int MAX_READ_AHEAD_BYTES = 256 << 10;
+
     private final IOSession session;
     private final SocketAddress peerAddress;
     private final ByteBuffer readBuffer;
@@ -44,6 +51,12 @@
     /** Guarded by the lock above. */
     private final Frames frames;
 
+    /** Used only by the reactor's thread. */
+    private boolean inputEnded;
+
+    /** Set by the reactor's thread, reset by any. */
+    private volatile boolean inputPaused;
+
     // Guarded by the session's lock. The first of the queued frames may be partly sent.
     private final ArrayDeque<ByteBuffer> queuedFrames = new ArrayDeque<>();
     private int unsentBytes;
@@ -102,38 +115,96 @@
         return reasonDetail;
     }
 
+    /**
+     * Reads a bounded part of what has arrived, so that a peer that sends at full speed does not
+     * keep others waiting, and handles the frames in it. The end of the input is noticed before the
+     * frames in front of it are handled.
+     */
     @Override
     public final void inputReady(IOSession same, ByteBuffer unused) throws IOException {
-        int count;
-        do {
-            readBuffer.clear();
-            count = session.read(readBuffer);
-            if (count < 0) {
-                close("left", "");
-                return;
+        inputLock.lock();
+        try {
+            int total = 0;
+            int count = 1;
+            while (count > 0 && total < MAX_READ_BYTES && !isReadAheadFull()) {
+                count = readAndFeed();
+                total += count;
             }
-            handleFrames(readBuffer.flip());
-        } while (count == readBuffer.capacity() && reason() == null);
+            inputEnded |= count < 0;
+            handleFrames();
+        } catch (PeerMemory.ExceededException exceeded) {
+            close(OVERLOAD, exceeded.getMessage());
+        } finally {
+            inputLock.unlock();
+        }
+        if (inputEnded) {
+            close("left", "");
+        } else if (isReadAheadFull()) {
+            session.clearEvent(SelectionKey.OP_READ);
+        }
     }
 
-    private void handleFrames(ByteBuffer received) {
-        inputLock.lock();
+    private int readAndFeed() throws IOException {
+        readBuffer.clear();
+        int count = session.read(readBuffer);
+        if (count > 0 && reason() == null) {
+            frames.feed(readBuffer.flip());
+        }
+        return count;
+    }
+
+    private boolean isReadAheadFull() {
+        return inputPaused && frames.bufferedBytes() >= MAX_READ_AHEAD_BYTES;
+    }
+
+    /** Handles the frames that have arrived, until the input is paused. */
+    private void handleFrames() {
         try {
-            if (reason() != null) {
-                return;
-            }
-            frames.feed(received);
-            for (Frames.Frame frame = frames.next();
-                    frame != null && reason() == null;
-                    frame = frames.next()) {
+            while (reason() == null && !inputPaused) {
+                Frames.Frame frame = frames.next();
+                if (frame == null) {
+                    return;
+                }
                 frameReceived(frame);
             }
         } catch (Frames.InvalidFrameException invalid) {
             close(invalid.reasonCode(), invalid.getMessage());
         } catch (IOException malformed) {
             close("malformed", malformed.getMessage());
-        } catch (PeerMemory.ExceededException exceeded) {
-            close(OVERLOAD, exceeded.getMessage());
+        }
+    }
+
+    /** Returns whether the peer has ended its input. Used on the reactor's thread. */
+    protected final boolean isInputEnded() {
+        return inputEnded;
+    }
+
+    /**
+     * Stops to handle frames until {@link #resumeInput}, as the peer has sent more than is handled.
+     * Some more bytes are still read, to notice the end of the input.
+     */
+    protected final void pauseInput() {
+        inputPaused = true;
+    }
+
+    /** Handles frames again, on the reactor's thread. May be called by any thread. */
+    protected final void resumeInput() {
+        if (inputPaused && reason() == null) {
+            inputPaused = false;
+            try {
+                session.setEvent(SelectionKey.OP_READ);
+                // The reactor's thread is then called although nothing more may arrive.
+                session.setEvent(SelectionKey.OP_WRITE);
+            } catch (CancelledKeyException closing) {
+                // The connection's end is about to be reported.
+            }
+        }
+    }
+
+    private void handleFramesThatWaited() {
+        inputLock.lock();
+        try {
+            handleFrames();
         } finally {
             inputLock.unlock();
         }
@@ -213,6 +284,11 @@
 
     @Override
     public final void outputReady(IOSession same) throws IOException {
+        writeQueuedFrames();
+        handleFramesThatWaited();
+    }
+
+    private void writeQueuedFrames() throws IOException {
         session.getLock().lock();
         try {
             for (ByteBuffer first = queuedFrames.peek();
--- a/src/main/java/rockshift/wire/Frames.java
+++ b/src/main/java/rockshift/wire/Frames.java
@@ -127,6 +127,11 @@
         buffer.put(received).position(position);
     }
 
+    /** Returns the number of bytes that wait to be returned as frames. */
+    int bufferedBytes() {
+        return buffer.remaining();
+    }
+
     private void replaceBuffer(ByteBuffer replacement) {
         if (account != null) {
             account.release(buffer.capacity());
--- a/src/test/java/rockshift/cluster/DistributionFramesTest.java
+++ b/src/test/java/rockshift/cluster/DistributionFramesTest.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -17,6 +18,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -192,6 +194,52 @@
         return new Subscribe(name, 1, Scope.all(), held, 0);
     }
 
+    /**
+     * Guards against a change that reaches other subscribers late, while one sends messages at full
+     * speed, under a new name whenever its connection was closed.
+     */
+    @Test
+    void changesReachOthersBesideAFloodOfMessages() throws Exception {
+        AtomicBoolean ended = new AtomicBoolean();
+        Thread flood = new Thread(() -> floodUntil(ended));
+        flood.start();
+        try {
+            TimeUnit.SECONDS.sleep(1);
+            for (int i = 0; i < 10; i++) {
+                long version = holdReplica("s-" + i);
+                long from = System.nanoTime();
+                await(() -> otherSubscriber.revision().number() >= version);
+                assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from))
+                        .as("time from agreement to the other subscriber, ms")
+                        .isLessThan(Limits.standard().timing().silenceTimeoutMillis());
+            }
+        } finally {
+            ended.set(true);
+            flood.join();
+        }
+        assertThat(otherSubscriber.subscribed()).isTrue();
+    }
+
+    private void floodUntil(AtomicBoolean ended) {
+        for (int number = 0; !ended.get(); number++) {
+            try (RawSubscriber raw = new RawSubscriber(relay.port())) {
+                raw.send(subscribe("flood-" + number, Revision.NONE));
+                Acknowledge message =
+                        new Acknowledge(1, Revision.NONE, 0, Summary.ofOne("flood", 0), 0);
+                byte[] frame = frame(message);
+                ByteBuffer many = ByteBuffer.allocate(500 * frame.length);
+                while (many.hasRemaining()) {
+                    many.put(frame);
+                }
+                while (!ended.get()) {
+                    raw.send(many.array());
+                }
+            } catch (IOException closed) {
+                // The relay has closed this connection; the next one has another name.
+            }
+        }
+    }
+
     /**
      * Returns invalid actions of a subscriber, by the reason and detail that it is rejected with.
      */
