--- a/src/main/java/rockshift/cluster/CallQueue.java
+++ b/src/main/java/rockshift/cluster/CallQueue.java
@@ -31,4 +31,8 @@
         }
         return first;
     }
+
+    void drop(C caller) {
+        waiting.remove(caller);
+    }
 }
--- a/src/main/java/rockshift/cluster/ClusterMember.java
+++ b/src/main/java/rockshift/cluster/ClusterMember.java
@@ -345,6 +345,11 @@
         public void callReceived(MemberConnection from, byte[] payload) {
             commands.callReceived(from, payload);
         }
+
+        @Override
+        public void callerEnded(MemberConnection caller) {
+            inputs.dropCalls(caller);
+        }
     }
 
     /** Carries out the engine's output. Called by the member's thread. */
--- a/src/main/java/rockshift/cluster/CommandService.java
+++ b/src/main/java/rockshift/cluster/CommandService.java
@@ -78,7 +78,11 @@
         }
     }
 
+    /** Executes a call, unless its caller has closed the connection before its turn. */
     private void execute(Caller caller, CommandCall call) {
+        if (!caller.connection.isOpen()) {
+            return;
+        }
         try {
             lastRequest++;
             callers.put(lastRequest, caller);
--- a/src/main/java/rockshift/cluster/MemberConnection.java
+++ b/src/main/java/rockshift/cluster/MemberConnection.java
@@ -129,10 +129,13 @@
     }
 
     /**
-     * Passes on a call. A caller whose calls are not answered yet is read no further once they are
-     * too many.
+     * Passes on a call, unless its caller has closed the connection. A caller whose calls are not
+     * answered yet is read no further once they are too many.
      */
     private void callReceived(byte[] payload) {
+        if (isInputEnded()) {
+            return;
+        }
         if (openCalls.incrementAndGet() >= MAX_OPEN_CALLS) {
             pauseInput();
             // The member's thread may have answered them meanwhile.
@@ -153,6 +156,11 @@
         }
     }
 
+    /** Returns whether the caller can still be answered. */
+    boolean isOpen() {
+        return reason() == null;
+    }
+
     @Override
     protected void idleTimeout() {
         close(peerHello == null ? "not-joined" : "idle", "");
@@ -166,6 +174,7 @@
     @Override
     protected void closed() {
         connections.limits().leave(role);
+        connections.handler().callerEnded(this);
         if (outgoingPeer != null) {
             outgoingPeer.disconnected(this);
         }
--- a/src/main/java/rockshift/cluster/MemberConnections.java
+++ b/src/main/java/rockshift/cluster/MemberConnections.java
@@ -55,6 +55,9 @@
         /** Handles the end of the connection on which a hello was received. */
         void helloEnded(Hello hello);
 
+        /** Handles the end of a connection that calls of commands were received on. */
+        void callerEnded(MemberConnection caller);
+
         /**
          * Handles a message of the protocol.
          *
--- a/src/main/java/rockshift/cluster/MemberInputs.java
+++ b/src/main/java/rockshift/cluster/MemberInputs.java
@@ -46,6 +46,11 @@
         notifyAll();
     }
 
+    /** Drops the calls of a caller that has closed its connection. */
+    synchronized void dropCalls(MemberConnection caller) {
+        calls.drop(caller);
+    }
+
     /** Waits until there is an input, at most for a timeout. */
     synchronized void await(long timeoutMillis) throws InterruptedException {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
--- a/src/test/java/rockshift/cluster/CallQueueTest.java
+++ b/src/test/java/rockshift/cluster/CallQueueTest.java
@@ -34,4 +34,15 @@
                 .startsWith("flood0", "a0", "b0", "flood1", "a1", "flood2")
                 .hasSize(1_003);
     }
+
+    /** Guards against calls that are executed although their caller has gone. */
+    @Test
+    void callsOfACallerThatHasGoneAreDropped() {
+        add("gone", 100);
+        add("a", 1);
+        queue.remove().run();
+        queue.drop("gone");
+        executeAll();
+        assertThat(executed).containsExactly("gone0", "a0");
+    }
 }
