--- a/src/main/java/rockshift/distribution/wire/DownstreamConnections.java
+++ b/src/main/java/rockshift/distribution/wire/DownstreamConnections.java
@@ -1,6 +1,7 @@
 package rockshift.distribution.wire;
 
 import java.io.IOException;
+import java.util.Collection;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
@@ -12,6 +13,7 @@
 import rockshift.distribution.DistributionMessage;
 import rockshift.distribution.Publisher;
 import rockshift.distribution.RejectionReason;
+import rockshift.distribution.Scope;
 import rockshift.wire.ConnectionLog;
 import rockshift.wire.FramedConnection;
 import rockshift.wire.Frames;
@@ -39,8 +41,30 @@
     /** Messages of all subscribers that may be queued for the publisher. */
     private static final int MAX_QUEUED = 20_000;
 
-    /** A subscriber's connection and the number of its queued messages. */
-    private record Peer(long number, FramedConnection connection, AtomicInteger queued) {}
+    /** What a name in a scope takes at the publisher and in its index, besides its characters. */
+    private static final int SCOPE_NAME_BYTES = 256;
+
+    /** A subscriber's connection, and what it has caused. */
+    private record Peer(
+            long number, FramedConnection connection, AtomicInteger queued, AtomicLong scopeBytes) {
+        Peer(long number, FramedConnection connection) {
+            this(number, connection, new AtomicInteger(), new AtomicLong());
+        }
+
+        /** Charges a scope that replaces the previous one; returns false if it must not. */
+        boolean chargeScope(Scope scope) {
+            long bytes = bytes(scope.services()) + bytes(scope.zones());
+            if (!connection.memory().charge(bytes)) {
+                return false;
+            }
+            connection.memory().release(scopeBytes.getAndSet(bytes));
+            return true;
+        }
+
+        private static long bytes(Collection<String> names) {
+            return names.stream().mapToLong(name -> SCOPE_NAME_BYTES + name.length()).sum();
+        }
+    }
 
     private final int maxServed;
     private final Executor steps;
@@ -91,7 +115,7 @@
             connection.close("crowded", "");
             return;
         }
-        Peer peer = new Peer(numbers.incrementAndGet(), connection, new AtomicInteger());
+        Peer peer = new Peer(numbers.incrementAndGet(), connection);
         byConnection.put(connection, peer);
         byNumber.put(peer.number, peer);
         steps.execute(() -> publisher.connected(peer.number, nowMillis()));
@@ -106,6 +130,11 @@
         }
         try {
             DistributionMessage message = DistributionCodec.read(payload);
+            if (message instanceof DistributionMessage.Subscribe subscribe
+                    && !peer.chargeScope(subscribe.scope())) {
+                closeOverloaded(peer);
+                return;
+            }
             queue(
                     peer,
                     payload.length,
@@ -135,7 +164,7 @@
             return;
         }
         if (!peer.connection.memory().charge(bytes)) {
-            peer.connection.close("overload", "the memory for all peers is used up");
+            closeOverloaded(peer);
             return;
         }
         peer.queued.incrementAndGet();
@@ -149,6 +178,10 @@
                 });
     }
 
+    private static void closeOverloaded(Peer peer) {
+        peer.connection.close("overload", "the memory for all peers is used up");
+    }
+
     /** Removes a connection that has ended, registered or not. */
     @Override
     public void ended(FramedConnection connection) {
--- a/src/test/java/rockshift/server/OverloadedProcessTest.java
+++ b/src/test/java/rockshift/server/OverloadedProcessTest.java
@@ -12,10 +12,17 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
+import rockshift.distribution.DistributionMessage.Subscribe;
+import rockshift.distribution.Revision;
+import rockshift.distribution.Scope;
+import rockshift.distribution.wire.DistributionCodec;
+import rockshift.wire.Frames;
 
 /**
  * Processes with the memory limits of the deploy file, whose peers together hold more than that in
@@ -24,6 +31,7 @@
 class OverloadedProcessTest extends ProcessFixture {
     private static final int FIELDS = 40_000;
     private static final int FRAME_BYTES = 1 << 20;
+    private static final int SCOPE_NAMES = 4_096;
     private static final int WATCHES = 12;
     private static final int WATCH_INTERVAL_MS = 500;
 
@@ -138,4 +146,32 @@
         assertThat(relay.process.isAlive()).isTrue();
         assertThat(controller.hasLogged("closed upstream connection")).isFalse();
     }
+
+    /** Guards against the end of a relay by subscribers of which each names thousands of zones. */
+    @Test
+    void relayOutlivesScopesOfManyNames() throws Exception {
+        LaunchedProcess member = launch("serve", "--operator", soleMemberFile());
+        member.awaitLine("leads in term");
+        LaunchedProcess relay =
+                launch("relay", "--operator", relayFile(0, member.port("listens on")));
+        int port = relay.port("relay listening");
+        LaunchedProcess controller = launch("serve", "--operator", subscriberFile(port));
+        controller.awaitLine("agreed state in force");
+        Peer quiet = controller.peer().send("joined sidecar 399 az east share 21.5 standing 1");
+        for (int i = 0; i < 150; i++) {
+            writeAll(connect(port, 1), subscription(i));
+        }
+        assertStaysAlive(relay, quiet);
+        assertThat(controller.hasLogged("closed upstream connection")).isFalse();
+    }
+
+    private static byte[] subscription(int number) throws IOException {
+        Set<String> names = new TreeSet<>();
+        for (int i = 0; i < SCOPE_NAMES; i++) {
+            names.add("z".repeat(80) + number + "-" + i);
+        }
+        Subscribe message =
+                new Subscribe("s" + number, 1, Scope.of(Set.of(), names), Revision.NONE, 0);
+        return Frames.frame(Frames.WATCH, DistributionCodec.write(message));
+    }
 }
