--- a/src/test/java/rockshift/server/ProcessFixture.java
+++ b/src/test/java/rockshift/server/ProcessFixture.java
@@ -105,6 +105,19 @@
         return Path.of(System.getProperty("java.home"), "bin", "java").toString();
     }
 
+    /** Launches one of the project's programs with the options of this test's own process. */
+    LaunchedProcess run(String... words) throws IOException {
+        List<String> command =
+                new ArrayList<>(
+                        List.of(
+                                java(),
+                                "-cp",
+                                System.getProperty("java.class.path"),
+                                "rockshift.Main"));
+        command.addAll(List.of(words));
+        return new LaunchedProcess(configuration(), command.toArray(String[]::new));
+    }
+
     String configuration() throws IOException {
         return configuration("127.0.0.1:0", 1024, SETTINGS, entry("s-1", "Ready", 0));
     }
