--- a/src/main/java/rockshift/cluster/AgreedStateKnowledge.java
+++ b/src/main/java/rockshift/cluster/AgreedStateKnowledge.java
@@ -2,6 +2,8 @@
 
 import java.util.Collection;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Tells the controller whether it knows what is agreed. A member knows it once it has applied all
@@ -11,6 +13,8 @@
  * thread.
  */
 final class AgreedStateKnowledge {
+    private static final Logger LOG = LoggerFactory.getLogger(AgreedStateKnowledge.class);
+
     private final ClusterSettings settings;
     private final AgreedStateSnapshot recoveredState;
     private final LocalController controller;
@@ -34,10 +38,6 @@
         this.memberThread = memberThread;
     }
 
-    boolean isKnown() {
-        return known;
-    }
-
     /** Passes the state in the member's folder to the controller, which may have changed since. */
     void start() {
         controller.setAgreedStateKnown(false);
@@ -46,14 +46,20 @@
     }
 
     /**
-     * Called when a member of another cluster, which this member is not part of, has named its
-     * members.
+     * Called each time that a member of another cluster, which this member is not part of, names
+     * its members. A subscription that cannot be started now is tried again the next time.
      */
     void clusterHeard(Collection<String> addresses) {
-        if (subscription == null && !addresses.isEmpty()) {
+        if (subscription != null || addresses.isEmpty()) {
+            return;
+        }
+        try {
             subscription =
                     new AgreedStateSubscription(
                             settings.name(), addresses, controller, memberThread);
+        } catch (RuntimeException failure) {
+            // An address that is not valid, or no free descriptor: the member goes on without.
+            LOG.warn("agreed state not followed yet cause=\"{}\"", failure.toString());
         }
     }
 
--- a/src/main/java/rockshift/cluster/AgreedStateSubscription.java
+++ b/src/main/java/rockshift/cluster/AgreedStateSubscription.java
@@ -26,7 +26,7 @@
 final class AgreedStateSubscription {
     private static final Logger LOG = LoggerFactory.getLogger(AgreedStateSubscription.class);
 
-    private final DistributionReactor reactor = new DistributionReactor();
+    private final DistributionReactor reactor;
     private final DistributionClient client;
     private final LocalController controller;
     private final Consumer<Runnable> memberThread;
@@ -39,6 +39,7 @@
      * @param name the name of this member
      * @param addresses the members of the cluster, without this one
      * @param memberThread runs a task on the member's thread
+     * @throws RuntimeException if an address is not valid, or the threads cannot be started now
      */
     AgreedStateSubscription(
             String name,
@@ -48,6 +49,7 @@
         this.controller = controller;
         this.memberThread = memberThread;
         List<InetSocketAddress> upstreams = addresses.stream().map(Section::parseAddress).toList();
+        reactor = new DistributionReactor();
         client =
                 new DistributionClient(
                         reactor,
--- a/src/main/java/rockshift/planner/KeptTables.java
+++ b/src/main/java/rockshift/planner/KeptTables.java
@@ -5,10 +5,14 @@
 
 /**
  * What a controller can know about the tables that a proxy brought along: the replicas that they
- * may have had entries for when it joined. Each of its tables has at least as many entries as this
- * controller's table for the same class, so it still has one while fewer replicas have departed.
+ * may have had entries for when it joined. Each of its tables has as many entries as this
+ * controller's table for the same class, less those of replicas that operators hold, so it still
+ * has one while fewer replicas have departed.
  */
 final class KeptTables {
+    /** Fraction of the entries that may be missing, as operators hold their replicas. */
+    private static final double MAX_HELD_FRACTION = 0.25;
+
     /** A replica as it was when the proxy joined. */
     private record Candidate(Replica replica, long startedAtTicks) {
         /** A replica that has restarted counts as departed: the proxy was told to avoid it. */
@@ -17,10 +21,12 @@
         }
     }
 
-    /** The replicas that a table may have entries for, and how many it has at least. */
+    /** The replicas that a table may have entries for, and how many it would have here. */
     private record KeptTable(List<Candidate> candidates, long entries) {
         boolean mayBeEmpty() {
-            return candidates.stream().filter(Candidate::hasDeparted).count() >= entries;
+            double leastEntries = entries - Math.ceil(MAX_HELD_FRACTION * entries);
+            long departed = candidates.stream().filter(Candidate::hasDeparted).count();
+            return departed >= Math.max(1, leastEntries);
         }
     }
 
--- a/src/main/java/rockshift/planner/TablePublisher.java
+++ b/src/main/java/rockshift/planner/TablePublisher.java
@@ -89,7 +89,7 @@
                             ? ChangeUrgency.REQUIRED
                             : urgency(change, batch, joinsPrecede, now);
             boolean due = regular || urgency.isInEveryRound();
-            if (due && isInScope(urgency, scope)) {
+            if (due && isInScope(urgency, batch, scope)) {
                 boolean sent = send(commands, change, urgency, batch, budget);
                 requiredChangeDeferred |= !sent && urgency == ChangeUrgency.REQUIRED;
             }
@@ -98,9 +98,10 @@
         return requiredChangeDeferred;
     }
 
-    private static boolean isInScope(ChangeUrgency urgency, ControlScope scope) {
-        return scope == ControlScope.FULL
-                || scope == ControlScope.REMOVALS_ONLY && urgency == ChangeUrgency.REQUIRED;
+    /** Returns whether a change may be made; a table that no proxy has follows the list. */
+    private static boolean isInScope(ChangeUrgency urgency, GroupBatch batch, ControlScope scope) {
+        boolean permitted = urgency == ChangeUrgency.REQUIRED || batch.boundProxies() == 0;
+        return scope == ControlScope.FULL || scope == ControlScope.REMOVALS_ONLY && permitted;
     }
 
     private PublishBudget openBudget(boolean joinsPrecede, double weightEntries, long now) {
--- a/src/test/java/rockshift/cluster/ReplacedFounderTest.java
+++ b/src/test/java/rockshift/cluster/ReplacedFounderTest.java
@@ -6,12 +6,19 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import rockshift.raft.Member;
+import rockshift.raft.Membership;
+import rockshift.wire.Frames;
+import rockshift.wire.Hello;
 
 /** A cluster that one member founded and two joined, whose founder loses its folder. */
 class ReplacedFounderTest extends ClusterFixture {
@@ -120,6 +127,21 @@
         }
     }
 
+    /** Guards against a waiting member that a hello with an invalid address ends. */
+    @Test
+    void waitingMemberOutlivesAHelloWithAnInvalidAddress() throws Exception {
+        initialCluster = ClusterSettings.InitialCluster.EXISTING;
+        start(0, 1);
+        Membership members =
+                new Membership(List.of(new Member(7, "other", "nowhere", Member.Role.VOTER)));
+        byte[] hello = new Hello(Frames.VERSION, 9, 7, "other", members).encode();
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), this.members[0].port())) {
+            socket.getOutputStream().write(Frames.frame(Frames.HELLO, hello));
+            TimeUnit.MILLISECONDS.sleep(500);
+            assertThat(statusOf(0).path("cluster").asText()).isEqualTo("0");
+        }
+    }
+
     /** Guards against a controller that counts as informed while its member can reach no other. */
     @Test
     void memberThatIsCutOffKnowsOnlyItsFolder() throws Exception {
