--- a/src/main/java/rockshift/net/PeerMemory.java
+++ b/src/main/java/rockshift/net/PeerMemory.java
@@ -71,11 +71,10 @@
         return register(new Account(null));
     }
 
-    private Account register(Account account) {
-        synchronized (this) {
-            accounts.add(account);
-        }
-        account.charge(CONNECTION_BYTES);
+    /** Closes no connection, since the new one is not complete yet; the next charge does. */
+    private synchronized Account register(Account account) {
+        accounts.add(account);
+        add(account, CONNECTION_BYTES);
         return account;
     }
 
--- a/src/main/java/rockshift/wire/FramedConnection.java
+++ b/src/main/java/rockshift/wire/FramedConnection.java
@@ -208,6 +208,10 @@
         } finally {
             inputLock.unlock();
         }
+        if (!inputPaused && reason() == null) {
+            // The input may have been resumed just before this thread stopped to read.
+            session.setEvent(SelectionKey.OP_READ);
+        }
     }
 
     /** Returns the account of the memory that is held for this connection's peer. */
